Level expected latencies by the answers instead of a first guess that stuck

Evidence: a run with the module's state logged shows class means of 42 to 70 ms and servers' relative latencies of 0.04 to 0.4, while strace shows answers after 1 to 3 ms, or 15 ms across zones. Only the products are measured: Balancer::learn (src/choice.rs) starts the class at a quarter of its aim, the servers take up the rest, and nothing sets them right. All that uses a class's mean alone (time-outs, urgency, patience, when a request is given up) is 5 to 10 times too long, and a newcomer at 1.0 counts as far slower than the others, against the design ('newcomers start at the others' mean'). Cure: Balancer::level (src/state.rs), called in each review, sets the servers' mean to 1 and moves the rest to the classes; a kind's first answer is no longer cut to twice that first guess.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -369,7 +369,8 @@
         if warmth >= 1.0 {
             average(&mut self.class_ms[class], latency / (s.slow.0.max(0.05) * factor), CLASS_SAMPLES);
             let kind = &mut self.kinds[s.kind];
-            let usual = sample.min(OUTLIER * kind.slow.0); // a few slow servers are not the kind
+            // A few slow servers are not the kind, but the first answer is all that is known of it.
+            let usual = if kind.slow.1 > 0.0 { sample.min(OUTLIER * kind.slow.0) } else { sample };
             average(&mut kind.slow, usual, CLASS_SAMPLES);
             if lone {
                 average(&mut kind.lone, usual * self.mean, CLASS_SAMPLES);
@@ -558,6 +559,7 @@
 
     /// Looks over all servers: slots, budgets of cold ones, closings that end, how many look ill.
     fn review(&mut self, now: Millis) {
+        self.level();
         self.mean = self.mean_latency();
         self.mean_room = self.servers.iter().map(|s| s.room).sum::<f64>() / self.servers.len().max(1) as f64;
         for kind in self.kinds.iter_mut().filter(|k| k.slow.1 >= CALM_SAMPLES) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -519,6 +519,22 @@
         (up, listed.iter().filter(|s| s.health.closed > now && !s.full).count() as f64)
     }
 
+    /// Sets the mean of the servers' relative latencies to 1 and the classes' means accordingly. Their products
+    /// alone are measured: without it each would keep for good what the other was first taken for.
+    pub(crate) fn level(&mut self) {
+        let of = |s: &Server| (s.slow.0 * s.slow.1, s.slow.1);
+        let listed = self.servers.iter().filter(|s| s.told.is_none()).map(of);
+        let (sum, weight) = listed.fold((0.0, 0.0), |a, s| (a.0 + s.0, a.1 + s.1));
+        if weight < 1.0 {
+            return;
+        }
+        let mean = (sum / weight).max(1e-6);
+        self.class_ms.iter_mut().for_each(|c| c.0 *= mean);
+        let slow =
+            self.servers.iter_mut().map(|s| &mut s.slow).chain(self.kinds.iter_mut().map(|k| &mut k.slow));
+        slow.filter(|s| s.1 > 0.0).for_each(|s| s.0 /= mean);
+    }
+
     /// The mean latency over all classes, by their answers.
     pub(crate) fn mean_latency(&self) -> Millis {
         let all = |(s, w): (f64, f64), c: &(f64, f64)| (s + c.0 * (c.1 + 0.01), w + c.1 + 0.01);
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -452,3 +452,19 @@
     }
     assert!(count > 2500 && refused < 100, "{count} answered, {refused} refused");
 }
+
+#[test]
+fn expected_latencies_follow_the_answers_not_the_first_guess() {
+    // r7333: answers took 3 ms, yet a class was expected to take its first guess, a quarter of its aim, since
+    // the servers' relative latencies had taken up the rest.
+    let mut hand = Hand::new(settings(1), vec![Backend { rating: 1.0, ..server(1) }]);
+    hand.train(0, 60, |_| 20.0);
+    hand.pass(200.0);
+    assert_eq!(sends(&hand.give(request(1000, 0, 2000.0))).len(), 1, "the one slot");
+    assert!(sends(&hand.give(request(1001, 0, 2000.0))).is_empty());
+    let refused = |actions: &[Action]| {
+        actions.iter().any(|a| matches!(a, Action::Refuse { request, .. } if *request == RequestId(1001)))
+    };
+    assert!(!refused(&hand.pass(730.0)), "20 ms of work still fit into the 70 ms up to its aim");
+    assert!(refused(&hand.pass(70.0)), "at its aim it is of no more use");
+}
