Count an attempt across zones in a slot only by its time at the server

Evidence: strace: answers within the zone come after 1.3 to 2.8 ms, from the other zone after 15 ms, of which 11 ms (the least seen there) are the way. The module's state: 314 requests wait at one proxy while all eight servers hold one attempt each, half of them on their way from the other zone's proxy, and own slots closed by them ('own=0 peers=1 free=false'). Cause: Balancer::place and Server::held (src/choice.rs, src/state.rs) let an attempt hold one of a server's slots from send to answer. A slot stands for the server's core, which an attempt takes only for its work: with a way of four times the work, each crossing attempt cost the server four requests. Cure: the least latencies of the own and of other zones tell the way; Server::load counts a crossing attempt, one's own or a peer's, by the part of its latency that is work.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,6 +4,7 @@
 //! Types, settings, events and actions: `src/interface.rs`. Records and plumbing: `src/state.rs`. Mechanism
 //! and extensions: `docs/design.md`; formula numbers are those of the paper named there. Times are in ms.
 use crate::interface::*;
+use crate::message::{HEAD, MESSAGE, pack};
 use crate::state::*;
 
 const TICK: Millis = 20.0; // how often waiting and running requests are looked over: within a rule's slack
@@ -23,6 +24,7 @@
 const CALM_CREEP: f64 = 1.001; // by which the calm level may rise in a review: a tenth in ten seconds
 const CALM_LEAP: f64 = 1.01; // and where the fewest slots bring no calm: it was taken for too low
 const CALM_SAMPLES: f64 = 60.0; // answers before a kind's latency is measured: the least of few is too low
+const MOST_WAY: f64 = 0.9; // part of a latency that the way across zones may account for
 const THROTTLE_MIN: f64 = 0.3; // the least part of its slots that a crowded kind keeps
 pub(crate) const UNMEASURED: f64 = 0.5; // part of a new kind's slots, lest a jam from the start pass for calm
 const LATE: f64 = 0.5; // part of the aim past which an answer says that the pooled servers are crowded
@@ -286,10 +288,15 @@
         let s = &self.servers[k];
         let kind = self.kinds[s.kind].slow.0;
         let slow = (s.slow.0 * s.slow.1 + kind * KIND_WEIGHT) / (s.slow.1 + KIND_WEIGHT);
-        let crosses = s.info.zone.is_some() && s.info.zone != self.cfg.zone;
+        let crosses = s.crosses(self.cfg.zone);
         let cross = PULL * self.cfg.prices.cross_zone * self.longest_aim / self.mean;
         let cost = slow / warmth + if crosses { cross } else { 0.0 };
+        // How much longer the way to another zone is shows in the least latencies; the rest is the server's.
+        let (way, latency) =
+            ((self.least[1] - self.least[0]).max(0.0), (slow / warmth * self.mean).max(1e-3));
+        let work = latency - if crosses { way.min(MOST_WAY * latency) } else { 0.0 };
         let s = &mut self.servers[k];
+        s.present = work / (work + way);
         (s.cost, s.warmth, s.band) = (cost, warmth, self.bands.of(cost));
         self.place(k, now);
     }
@@ -303,7 +310,7 @@
         let usable = s.told.is_none() && (!ill || self.doubt && !s.full);
         let cold = s.fresh && warmth < 1.0;
         let allowed = usable && (!s.health.trial || s.own == 0) && (!cold || s.tokens >= 1.0);
-        let (held, room) = (f64::from(s.held()), s.room * warmth);
+        let (held, room) = (s.load(self.cfg.zone), s.room * warmth);
         let own = allowed && f64::from(s.own) < s.mine.max(if self.cfg.warm_keys { 1.0 } else { 0.0 });
         let (free, open) = if !self.cfg.may_tell {
             (own, own.then_some(band)) // no word from others: only what is surely this proxy's
@@ -365,6 +372,8 @@
     /// Learns from an answer how slow a server is; failures and cold servers prove nothing of their like.
     fn learn(&mut self, k: usize, class: usize, latency: Millis, home: bool, lone: bool) {
         self.learn_gain(k, class, latency, home, CLASS_SAMPLES);
+        let least = &mut self.least[usize::from(self.servers[k].crosses(self.cfg.zone))];
+        *least = if *least > 0.0 { least.min(latency) } else { latency };
         let s = &mut self.servers[k];
         let warmth = s.warmth;
         let factor = if home { 1.0 / self.gain } else { 1.0 } / warmth;
@@ -570,6 +579,7 @@
     /// Looks over all servers: slots, budgets of cold ones, closings that end, how many look ill.
     fn review(&mut self, now: Millis) {
         self.level();
+        self.least.iter_mut().for_each(|l| *l *= CALM_CREEP);
         self.mean = self.mean_latency();
         self.mean_room = self.servers.iter().map(|s| s.room).sum::<f64>() / self.servers.len().max(1) as f64;
         for kind in self.kinds.iter_mut().filter(|k| k.slow.1 >= CALM_SAMPLES) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! The records that the choices keep, and the plumbing under them. Nothing is decided here.
 use crate::choice::{BACKOFF, BAND_RATIO, BANDS, RATE_SPAN, SPREAD_SAMPLES, STALE, UNMEASURED, WINDOW_LEAST};
 use crate::interface::*;
+use crate::message::{short, unpack};
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 
@@ -26,7 +27,8 @@
     pub info: Backend,
     pub told: Option<Millis>,  // when its drain or end was told
     pub own: u32,              // this proxy's attempts there, those given up but plausibly running included
-    pub peers: u32,            // attempts of other proxies, as told by them
+    pub peers: [u32; 2],       // attempts of other proxies, as told by them: from its zone, from others
+    pub present: f64,          // part of its time that an attempt from another zone is at the server
     pub blame: u32,            // other proxies that hold it for ill
     pub slow: (f64, f64),      // mean latency relative to its classes' means over the fleet, and its weight
     pub health: Health,        // as a whole
@@ -58,8 +60,21 @@
         let (health, slow) = (Health::clean(now), (1.0, 0.0));
         let by_class = vec![health.clone(); classes];
         let (room, warmth, cost, weight, rest) = (1.0, 1.0, 1.0, 1.0, Server::default());
-        let (progress, tokens_at) = (now, now);
-        Server { info, health, slow, by_class, room, warmth, cost, weight, progress, tokens_at, ..rest }
+        let (progress, tokens_at, present) = (now, now, 1.0);
+        Server {
+            info,
+            health,
+            slow,
+            by_class,
+            room,
+            warmth,
+            cost,
+            weight,
+            progress,
+            tokens_at,
+            present,
+            ..rest
+        }
     }
 
     /// Whether it is in one group with the server of an earlier attempt.
@@ -77,9 +92,20 @@
         self.by_class.fill(Health::clean(now));
     }
 
-    /// Requests there, as far as this proxy knows.
+    /// Attempts out there, as far as this proxy knows.
     pub fn held(&self) -> u32 {
-        self.own.saturating_add(self.peers)
+        self.own + self.peers[0] + self.peers[1]
+    }
+
+    /// Those expected to be at the server itself: on their way across zones they take none of its time.
+    pub fn load(&self, zone: Option<ZoneId>) -> f64 {
+        let own = if self.crosses(zone) { self.present } else { 1.0 };
+        f64::from(self.own) * own + f64::from(self.peers[0]) + f64::from(self.peers[1]) * self.present
+    }
+
+    /// Whether a proxy in that zone reaches it across zones.
+    pub fn crosses(&self, zone: Option<ZoneId>) -> bool {
+        self.info.zone.is_some() && self.info.zone != zone
     }
 
     pub fn open(&self) -> bool {
@@ -99,14 +125,8 @@
 
 impl Default for Kind {
     fn default() -> Self {
-        Kind {
-            slow: (1.0, 0.0),
-            lone: (0.0, 0.0),
-            core: f64::INFINITY,
-            cores: 1.0,
-            calm: f64::INFINITY,
-            throttle: UNMEASURED,
-        }
+        let calm = f64::INFINITY;
+        Kind { slow: (1.0, 0.0), lone: (0.0, 0.0), core: calm, cores: 1.0, calm, throttle: UNMEASURED }
     }
 }
 
@@ -212,53 +232,11 @@
 /// What another proxy told last.
 pub(crate) struct Peer {
     pub heard: Millis,
-    pub holds: Vec<usize>,
+    pub holds: Vec<(usize, usize)>, // servers, and whether it crosses zones to them
     pub blames: Vec<usize>,
 }
 
 const MOST_SLOTS: u32 = 1024; // of a server: a bound on work, whatever a list says
-const VERSION: u8 = 1;
-pub(crate) const HEAD: usize = 3; // bytes of a message before its servers
-pub(crate) const MESSAGE: usize = 256; // bytes of a full message
-
-/// Packs what this proxy holds and blames; servers are named by 16 bits of their hash.
-pub(crate) fn pack(zone: Option<ZoneId>, servers: &[Server], now: Millis) -> Vec<u8> {
-    let name = |s: &Server| short(s.info.id).to_le_bytes();
-    let mut bytes = vec![VERSION, zone.map_or(u8::MAX, |z| z.0 as u8), 0];
-    for s in servers.iter().filter(|s| s.health.closed > now && s.told.is_none()).take(30) {
-        bytes.extend(name(s));
-        bytes[2] += 1;
-    }
-    for s in servers.iter().filter(|s| s.own > 0) {
-        for _ in 0..s.own.min((MESSAGE - bytes.len()) as u32 / 2) {
-            bytes.extend(name(s));
-        }
-    }
-    bytes
-}
-
-/// Unpacks a message: the sender's zone, what it blames, what it holds.
-pub(crate) fn unpack(
-    bytes: &[u8], names: &FxHashMap<u16, usize>,
-) -> Option<(Option<ZoneId>, Vec<usize>, Vec<usize>)> {
-    if bytes.len() < HEAD || bytes[0] != VERSION {
-        return None;
-    }
-    let zone = (bytes[1] != u8::MAX).then_some(ZoneId(u32::from(bytes[1])));
-    let (mut blames, mut holds) = (Vec::new(), Vec::new());
-    for (i, pair) in bytes[HEAD..].chunks_exact(2).enumerate() {
-        if let Some(&k) = names.get(&u16::from_le_bytes([pair[0], pair[1]])) {
-            if i < usize::from(bytes[2]) { blames.push(k) } else { holds.push(k) }
-        }
-    }
-    Some((zone, blames, holds))
-}
-
-/// The 16 bits by which messages name a server.
-pub(crate) fn short(id: BackendId) -> u16 {
-    mix(id.0) as u16
-}
-
 /// Spreads the bits of a number.
 pub(crate) fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -291,14 +269,15 @@
     pub(crate) class_ms: Vec<(f64, f64)>,         // mean latency by class, and its weight
     pub(crate) kinds: Vec<Kind>,
     pub(crate) longest_aim: Millis,
-    pub(crate) blocked: Vec<f64>, // part of the servers that is closed to a class alone
+    pub(crate) least: [Millis; 2], // the least latency of late: of its zone's servers, of others'; 0 if unknown
+    pub(crate) blocked: Vec<f64>,  // part of the servers that is closed to a class alone
     pub(crate) spread: (f64, f64), // mean square of latency over its expected value, and its weight
-    pub(crate) window: f64,       // requests that this proxy may have out where it shares all servers
-    pub(crate) mean_room: f64,    // slots of a mean server
-    pub(crate) mean: Millis,      // mean latency over all classes
-    pub(crate) slowest: f64,      // calm latency of the slowest kind
-    pub(crate) rating: f64,       // sum of the ratings of listed servers
-    pub(crate) gain: f64,         // how much faster a warm server is
+    pub(crate) window: f64,        // requests that this proxy may have out where it shares all servers
+    pub(crate) mean_room: f64,     // slots of a mean server
+    pub(crate) mean: Millis,       // mean latency over all classes
+    pub(crate) slowest: f64,       // calm latency of the slowest kind
+    pub(crate) rating: f64,        // sum of the ratings of listed servers
+    pub(crate) gain: f64,          // how much faster a warm server is
     pub(crate) temper: [(f64, f64); 2], // mean relative latency away from home and at home, and its weight
     pub(crate) arrivals: f64,
     pub(crate) rate: f64, // arrivals per ms
@@ -341,6 +320,7 @@
             mean: first_guess,
             slowest: 0.0,
             longest_aim,
+            least: [0.0; 2],
             mean_room: 1.0,
             blocked: vec![0.0; cfg.classes.len()],
             spread: (2.0, 0.2 * SPREAD_SAMPLES),
@@ -520,8 +500,9 @@
         };
         let before = self.unhear(from);
         blames.iter().for_each(|&k| self.servers[k].blame += 1);
-        holds.iter().for_each(|&k| self.servers[k].peers += 1);
-        for &k in before.iter().chain(&holds) {
+        let holds: Vec<_> = holds.iter().map(|&k| (k, usize::from(self.servers[k].crosses(zone)))).collect();
+        holds.iter().for_each(|&(k, way)| self.servers[k].peers[way] += 1);
+        for &(k, _) in before.iter().chain(&holds) {
             self.place(k, now);
         }
         self.zones[from] = zone;
@@ -529,10 +510,10 @@
     }
 
     /// Takes back what a peer told before; returns the servers where it held something.
-    fn unhear(&mut self, from: usize) -> Vec<usize> {
+    fn unhear(&mut self, from: usize) -> Vec<(usize, usize)> {
         let Some(p) = self.peers[from].take() else { return Vec::new() };
         p.blames.iter().for_each(|&k| self.servers[k].blame -= 1);
-        p.holds.iter().for_each(|&k| self.servers[k].peers -= 1);
+        p.holds.iter().for_each(|&(k, way)| self.servers[k].peers[way] -= 1);
         p.holds
     }
 
@@ -576,7 +557,11 @@
         self.vacant.iter().for_each(|&k| free[k] = false);
         let requests = self.requests.values();
         let asked = requests.flat_map(|r| r.attempts.iter().map(|a| a.server).chain(r.home));
-        let peers = self.peers.iter().flatten().flat_map(|p| [&p.holds, &p.blames]).flatten().copied();
+        let peers = self
+            .peers
+            .iter()
+            .flatten()
+            .flat_map(|p| p.holds.iter().map(|h| h.0).chain(p.blames.iter().copied()));
         asked.chain(peers).chain(self.ghosts.iter().map(|g| g.1)).for_each(|k| free[k] = false);
         for k in (0..free.len()).filter(|&k| free[k]) {
             self.place(k, now); // takes it out of its band
@@ -639,7 +624,7 @@
         }
         for from in 0..self.peers.len() {
             if self.peers[from].as_ref().is_some_and(|p| now - p.heard > STALE) {
-                self.unhear(from).into_iter().for_each(|k| self.place(k, now));
+                self.unhear(from).into_iter().for_each(|(k, _)| self.place(k, now));
             }
         }
     }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -507,3 +507,30 @@
     let again = sends(&hand.give(ended(1000, 0, 1.0, Outcome::ConnectFailed)));
     assert_eq!(again, [(1000, 2)], "the slower one has a free slot");
 }
+
+#[test]
+fn an_attempt_on_its_way_across_zones_takes_no_slot_from_the_zone_s_own_proxy() {
+    // r7333: where the way to another zone takes four times as long as the work, the attempts of another zone's
+    // proxy kept a server of one slot from its own proxy for the whole of that way.
+    let here = |id| Backend { rating: 1.0, ..server(id) };
+    let there = Backend { zone: Some(ZoneId(1)), ..here(9) };
+    let talks = Settings { may_tell: true, ..settings(2) };
+    let mut hand = Hand::new(talks.clone(), vec![there.clone()]);
+    hand.train(0, 40, |_| 20.0);
+    hand.give(full(vec![here(1), there]));
+    hand.train(100, 120, |to| if to == 1 { 4.0 } else { 20.0 });
+    // A proxy of the other zone tells that it has two attempts out at server 1.
+    let large = Backend { rating: 16.0, ..here(1) };
+    let mut other = Hand::new(Settings { me: 1, zone: Some(ZoneId(1)), ..talks }, vec![large]);
+    assert_eq!(burst(&mut other, 0, 2).len(), 2);
+    let told = other.pass(300.0).into_iter().rev().find_map(|a| match a {
+        Action::Broadcast(bytes) => Some(bytes),
+        _ => None,
+    });
+    let told = Event::Message { from: 1, bytes: told.expect("it tells what it holds") };
+    hand.give(told.clone());
+    hand.pass(2000.0); // slots are shared out anew between the proxies of each zone
+    hand.give(told);
+    assert_eq!(burst(&mut hand, 1000, 1), [(1000, 1)], "its own slot is open");
+    assert!(burst(&mut hand, 1001, 1).iter().all(|s| s.1 != 1), "and there is but one");
+}
