Let the limit at which failures close a server rise with how many fail everywhere

Evidence: under strace 354 of 5,283 attempts of one proxy end in a reset or a cut answer, at every server, on connections of any age and idle time, from the first second on: one in fifteen at random. The first attempt goes out after 14 ms in the median, up to 440 ms. Cause: Balancer::judge (src/choice.rs) closes a server at two failures in a row, for 250 ms and more, to a class alone four times as long, and lets it back by one request at a time. At one failure in fifteen that befalls each server every few seconds. The ambient mean that should prevent it is the middling server's of the moment: 0. Cure: the limit rises by three times the part of the last hundred attempts that failed, up to the bound there is.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -406,7 +406,9 @@
         let jitter = 0.75 + 0.5 * self.rng.f64();
         // What befalls all alike is no fault of one: closed for it one by one, they would leave nobody to
         // serve, and the few requests that still go out would meet the more failures.
-        let limit = |i: usize| FAIL_CLOSE.max((AMBIENT.0 * self.ambient[i]).min(AMBIENT.1));
+        // Nor do two failures in a row tell a bad server where some fail everywhere.
+        let common = AMBIENT.0 * (1.0 - self.success);
+        let limit = |i: usize| (FAIL_CLOSE + common).max(AMBIENT.0 * self.ambient[i]).min(AMBIENT.1);
         let whole = (&mut s.health, limit(0), 1.0);
         for (h, limit, longer) in [whole, (&mut s.by_class[class], limit(class + 1), CLASS_BACKOFF)] {
             if good {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -534,3 +534,30 @@
     assert_eq!(burst(&mut hand, 1000, 1), [(1000, 1)], "its own slot is open");
     assert!(burst(&mut hand, 1001, 1).iter().all(|s| s.1 != 1), "and there is but one");
 }
+
+#[test]
+fn where_some_fail_everywhere_two_in_a_row_close_no_server() {
+    // r6407: servers broke one connection in twenty, at random, and two in a row closed one for 250 ms and more.
+    let list = || (1..5).map(|id| Backend { rating: 1.0, ..server(id) }).collect();
+    let still_open = |fail_every: u64| {
+        let mut hand = Hand::new(settings(1), list());
+        hand.train(0, 100, |_| 20.0);
+        for id in 1000..1400 {
+            assert_eq!(burst(&mut hand, id, 1).len(), 1);
+            hand.pass(20.0);
+            let outcome = if id % fail_every == 0 { Outcome::Reset } else { Outcome::Served };
+            hand.give(ended(id, 0, 20.0, outcome));
+        }
+        hand.pass(5000.0); // all are open again
+        for first in [2000, 2010] {
+            let sent = burst(&mut hand, first, 4);
+            hand.pass(20.0);
+            for (id, to) in sent {
+                hand.give(ended(id, 0, 20.0, if to == 1 { Outcome::Reset } else { Outcome::Served }));
+            }
+        }
+        burst(&mut hand, 3000, 4).iter().any(|s| s.1 == 1)
+    };
+    assert!(still_open(17), "one in seventeen fails anywhere");
+    assert!(!still_open(10_000), "nothing else fails");
+}
