Share out what a fleet sees free by supply and demand instead of to all that see it

Evidence, counted over the logs of all 100 proxies with the new tally line (driver.rs, log.rs): a proxy tells what it holds every 190 ms, a request takes 30 ms. So what others are told to hold has long ended, and a server with room for one (an unmeasured kind is given half its slots, and at 15 requests a second nothing is measured for 12 s) passes for taken while it is idle. In Balancer::place the chance to borrow an idle slot was drawn for 100 ms for one proxy each, though it comes free three times in that span. Where a slot did show as free, every proxy with a request for its home sent (choose, serve).

A test found that requests are numbered alike at all proxies, so that a draw by number alone admits the same ones everywhere.

Change, one formula in the number of proxies and the age of their word (blindness): with two proxies and fresh word it is near nothing. Room grows by up to 1.5, owned slots fade, a home admits a request with the chance supply over demand, idle room is lent by the mean queue. Peers' records move to message.rs.

A start line with the settings and a line per failed attempt stay in the log, rate-limited.

--- a/src/bin/sandgap/driver.rs
+++ b/src/bin/sandgap/driver.rs
@@ -18,6 +18,7 @@
 
 use crate::discovery::{self, Host};
 use crate::frontend::OpenId;
+use crate::log::Tally;
 use crate::note;
 use crate::peers::Peers;
 use crate::upstream::{Endpoint, Outgoing, Reply, Upstreams};
@@ -25,6 +26,7 @@
 /// What the client is told has to be on its way this long before the client gives up, whatever happens.
 const LAST_RESORT: Duration = Duration::from_millis(4);
 const SWEEP: Duration = Duration::from_secs(1); // between looks at idle connections
+const TALLY: Duration = Duration::from_secs(5); // between lines that sum up what was done
 /// Zones and kinds that are told apart: a bound, whatever discovery comes up with over the years.
 const NAMES: usize = 250;
 
@@ -151,6 +153,9 @@
     live: FxHashMap<RequestId, Live>,
     due: BinaryHeap<Reverse<(Instant, Due)>>,
     actions: Vec<Action>,
+    tally: Tally,
+    /// When discovery last said something.
+    listed: Instant,
 }
 
 impl Driver {
@@ -164,12 +169,15 @@
             live: FxHashMap::default(),
             due: BinaryHeap::new(),
             actions: Vec::new(),
+            tally: Tally::default(),
+            listed: Instant::now(),
         }
     }
 
     /// Takes inputs and timers for as long as the process runs.
     pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
         let mut sweep = Instant::now() + SWEEP;
+        let mut tally = Instant::now() + TALLY;
         loop {
             let next = self.due.peek().map_or(sweep, |Reverse((at, _))| (*at).min(sweep));
             tokio::select! {
@@ -191,6 +199,11 @@
             if now >= sweep {
                 self.parts.upstreams.sweep();
                 sweep = now + SWEEP;
+                if now >= tally {
+                    self.tally.dials = self.parts.upstreams.dialed();
+                    self.tally.tell(self.listed.elapsed());
+                    tally = now + TALLY;
+                }
             }
         }
     }
@@ -207,7 +220,10 @@
                 self.ended(request, attempt, latency, outcome, reply);
             }
             Input::List(scope, hosts) => self.list(scope, hosts),
-            Input::Datagram { from, bytes } => self.handle(Event::Message { from, bytes }),
+            Input::Datagram { from, bytes } => {
+                self.tally.heard += 1;
+                self.handle(Event::Message { from, bytes });
+            }
         }
     }
 
@@ -227,6 +243,7 @@
                 _open: open,
             },
         );
+        self.tally.requests += 1;
         self.due.push(Reverse((last, Due::LastResort(id))));
         self.handle(Event::Request { id, class, tenant, key, budget, hint });
     }
@@ -244,6 +261,7 @@
     ) {
         let Some(live) = self.live.get_mut(&request) else { return };
         live.out -= 1;
+        self.tally.outcomes[outcome as usize] += 1;
         let was_open = live.answer.is_some();
         if let (Outcome::Served, Some(reply)) = (outcome, reply)
             && let Some(answer) = self.close(request)
@@ -284,6 +302,11 @@
                 stays
             });
         }
+        match scope {
+            Scope::Full | Scope::Delta => self.listed = Instant::now(),
+            Scope::Failed => self.tally.asked[1] += 1,
+            Scope::Cached => {}
+        }
         let some = !entries.is_empty();
         self.handle(Event::List { scope, entries });
         match scope {
@@ -342,12 +365,15 @@
         match action {
             Action::Send { request, backend, timeout } => self.send(request, backend, timeout),
             Action::Refuse { request, retry_after } => {
+                let tried = self.live.get(&request).is_some_and(|l| l.attempts > 0);
                 if let Some(answer) = self.close(request) {
+                    self.tally.refused[usize::from(tried)] += 1;
                     let _ = answer.send(Answer::Refused(retry_after));
                 }
             }
             Action::Fail(request) => {
                 if let Some(answer) = self.close(request) {
+                    self.tally.failed += 1;
                     let _ = answer.send(Answer::Failed);
                 }
             }
@@ -356,10 +382,14 @@
             }
             Action::Broadcast(bytes) => {
                 if let Some(peers) = &self.parts.peers {
+                    self.tally.told += 1;
                     peers.tell(&bytes);
                 }
             }
-            Action::Subscribe => self.parts.watch.notify_one(),
+            Action::Subscribe => {
+                self.tally.asked[0] += 1;
+                self.parts.watch.notify_one();
+            }
             Action::FetchList => {
                 let address = *self.parts.discovery.borrow();
                 tokio::task::spawn_local(discovery::fetch(address, self.parts.inbox.clone()));
@@ -375,11 +405,13 @@
             inbox: self.parts.inbox.clone(),
             request,
             attempt: live.attempts,
+            backend,
             sent: Instant::now(),
             told: false,
         };
         live.attempts += 1;
         live.out += 1;
+        self.tally.sends += 1;
         let Some(endpoint) = self.endpoints.get(&backend).filter(|e| live.wanted.get() && e.is_open()) else {
             return report.tell(Outcome::Moot, None);
         };
@@ -406,6 +438,7 @@
     inbox: Inbox,
     request: RequestId,
     attempt: u32,
+    backend: BackendId,
     sent: Instant,
     told: bool,
 }
@@ -415,6 +448,9 @@
         self.told = true;
         let latency = self.sent.elapsed().as_secs_f64() * 1000.0;
         let (request, attempt) = (self.request, self.attempt);
+        if outcome != Outcome::Served {
+            note!("an attempt at {:016x}: {outcome:?} after {latency:.0} ms", self.backend.0);
+        }
         self.inbox.put(Input::Ended { request, attempt, latency, outcome, reply });
     }
 }
--- a/src/bin/sandgap/log.rs
+++ b/src/bin/sandgap/log.rs
@@ -5,6 +5,8 @@
 use std::io::Write as _;
 use std::time::{Duration, Instant};
 
+use wharfhitch::Outcome;
+
 const BURST: u32 = 20; // lines in a second; the rest are counted and left out
 
 thread_local! {
@@ -40,3 +42,46 @@
 macro_rules! note {
     ($($part:tt)*) => { $crate::log::line(format_args!($($part)*)) };
 }
+
+/// What a proxy has done since it last told: summed over the logs of all proxies it shows what each does that
+/// is harmless alone.
+#[derive(Default)]
+pub struct Tally {
+    pub requests: u32,
+    /// Attempts, and how they ended, by [`Outcome`].
+    pub sends: u32,
+    pub outcomes: [u32; Outcome::COUNT],
+    /// Final answers of the module: refusals before and after an attempt, failures.
+    pub refused: [u32; 2],
+    pub failed: u32,
+    /// Connections opened to backends.
+    pub dials: u32,
+    pub told: u32,
+    pub heard: u32,
+    /// Calls to discovery that the module asked for, and those that failed.
+    pub asked: [u32; 2],
+}
+
+impl Tally {
+    /// Writes the sums, unless nothing has happened, and starts anew.
+    pub fn tell(&mut self, list_age: Duration) {
+        let t = std::mem::take(self);
+        if t.requests + t.sends + t.heard + t.asked[0] + t.asked[1] == 0 {
+            return;
+        }
+        crate::note!(
+            "requests={} sends={} outcomes={:?} refused={:?} failed={} dials={} told={} heard={} asked={:?} \
+             list_age_ms={}",
+            t.requests,
+            t.sends,
+            t.outcomes,
+            t.refused,
+            t.failed,
+            t.dials,
+            t.told,
+            t.heard,
+            t.asked,
+            list_age.as_millis()
+        );
+    }
+}
--- a/src/bin/sandgap/main.rs
+++ b/src/bin/sandgap/main.rs
@@ -49,6 +49,7 @@
     let mut term = signal(SignalKind::terminate()).map_err(at("SIGTERM"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(at("SIGINT"))?;
     let hup = signal(SignalKind::hangup()).map_err(at("SIGHUP"))?;
+    note!("{}: {:?}", config.name, config.settings);
     let (discovery, addresses) = watch::channel(config.discovery);
     spawn_local(reload(hup, path, discovery));
     let listener = frontend::listen(config.listen).map_err(at(&format!("listen on {}", config.listen)))?;
--- a/src/bin/sandgap/upstream.rs
+++ b/src/bin/sandgap/upstream.rs
@@ -260,6 +260,8 @@
     idle_limit: Duration,
     sockets: Arc<Semaphore>,
     most: usize,
+    /// Connections opened since this was last asked.
+    dials: Cell<u32>,
     /// Asked to close an idle connection when the budget has run out.
     endpoints: RefCell<Vec<Rc<Endpoint>>>,
 }
@@ -272,6 +274,7 @@
             idle_limit: span(connections.idle_close * IDLE_PART),
             sockets: Arc::new(Semaphore::new(sockets)),
             most: sockets,
+            dials: Cell::new(0),
             endpoints: RefCell::default(),
         }
     }
@@ -281,6 +284,11 @@
         self.most - self.sockets.available_permits()
     }
 
+    /// Connections opened since the last call.
+    pub fn dialed(&self) -> u32 {
+        self.dials.take()
+    }
+
     /// Adds a backend's process to those whose idle connections are looked after.
     pub fn add(&self, endpoint: &Rc<Endpoint>) {
         self.endpoints.borrow_mut().push(endpoint.clone());
@@ -321,6 +329,7 @@
             self.close_idle();
         }
         let permit = self.sockets.clone().acquire_owned().await.map_err(io::Error::other)?;
+        self.dials.set(self.dials.get() + 1);
         let stream = Rc::new(TcpStream::connect(address).await?);
         stream.set_nodelay(true)?;
         let meter = Rc::new(Meter::default());
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,7 +4,7 @@
 //! Types, settings, events and actions: `src/interface.rs`. Records and plumbing: `src/state.rs`. Mechanism
 //! and extensions: `docs/design.md`; formula numbers are those of the paper named there. Times are in ms.
 use crate::interface::*;
-use crate::message::{HEAD, MESSAGE, pack};
+use crate::message::MESSAGE;
 use crate::state::*;
 
 const TICK: Millis = 20.0; // how often waiting and running requests are looked over: within a rule's slack
@@ -32,6 +32,10 @@
 pub(crate) const WINDOW_LEAST: f64 = 4.0; // requests that a proxy may always have out
 const OWN_LEAST: f64 = 8.0; // own slots under which proxies share all, for answers of exponential spread
 const FULLNESS: f64 = 1.1; // requests a core may hold: a little over one keeps it busy between answers
+const EPOCH: Millis = REVIEW as f64 * TICK; // for which it is drawn who may use what all see
+const CROWD_LEAST: f64 = 0.05; // requests that are taken to wait at each proxy
+const CROWD_SPAN: Millis = 500.0; // span over which those that wait are averaged
+const BLIND: f64 = 1.5; // requests more that a server may hold where nobody sees whether it is idle
 const BORROW: usize = 3; // bands by which another proxy's slot counts slower: both may take it at once
 const PULL: f64 = 3.0; // a crossing's price, as a delay, is counted this many times: aims leave slack
 const SLACK_SCALE: f64 = 0.5; // part of the aim over which slack takes a request's urgency away
@@ -202,7 +206,8 @@
             self.servers[k].line.retain(|id| requests.get(id).is_some_and(|r| r.waiting));
             let press = |id: &RequestId| self.press(&requests[id], now);
             let fits = |r: &Request| !r.may_have_run() && self.suits(k, r, now);
-            let line = self.servers[k].line.iter().filter(|id| fits(&requests[id]));
+            let fits = |id: &&RequestId| fits(&requests[id]) && self.admitted(k, **id);
+            let line = self.servers[k].line.iter().filter(fits);
             let Some(&id) = line.max_by(|a, b| press(a).total_cmp(&press(b))) else { return };
             self.send(now, id, k, out);
         }
@@ -259,7 +264,7 @@
                 return go.then_some(k);
             };
             let warm = self.gain / s.cost; // for its key the home is a faster server
-            if s.free {
+            if self.admitted(h, id) {
                 return Some(h);
             }
             // The home's slots are the faster ones, and those who wait for it over all proxies the queue.
@@ -269,7 +274,7 @@
             let go = urgent || f64::from(s.wanted) * n > f64::from(tau);
             return go.then_some(k);
         }
-        home.filter(|&h| self.servers[h].free)
+        home.filter(|&h| self.admitted(h, id))
     }
 
     /// Whether a server may get a request: first time there, its class not closed there (some servers leave
@@ -319,13 +324,15 @@
         } else {
             // All proxies see the same idle slots of others. Each may borrow at a random part of the servers
             // only, drawn anew every few ticks, so that about one proxy comes for each idle slot.
-            let chance = (room - held) / f64::from(self.cfg.proxies);
+            let chance = self.chance(k, held);
             let lucky = draw(s.info.id.0 ^ ticks, u64::from(self.cfg.me)) < chance;
             let free = allowed && held + 0.5 < room;
             (free, (free && lucky).then(|| (band + BORROW).min(BANDS - 1)))
         };
         let slots = if usable { s.mine * warmth } else { 0.0 };
-        self.servers[k].free = free;
+        let part = (self.supply(k, held) / self.demand(k).max(1e-9)).min(1.0);
+        let gate = part.powf(self.blindness()); // who sees what is there need not share it out blindly
+        (self.servers[k].free, self.servers[k].gate) = (free, gate);
         self.bands.file(&mut self.servers, k, band, slots, open);
     }
 
@@ -356,12 +363,13 @@
         let rating = if self.cfg.rating == Rating::Size { s.info.rating } else { 1.0 };
         let kind = &self.kinds[s.kind];
         let cores = rating * (kind.core / self.slowest).min(1.0);
-        let room = (FULLNESS * kind.throttle * cores).max(1.0);
+        let (seen, blind) = ((FULLNESS * kind.throttle * cores).max(1.0), self.blindness());
+        let room = seen + blind * BLIND;
         let mine = if self.pools() {
             1.0 // one slot on every server
         } else {
             // Each slot belongs to one proxy, of the server's zone if there is one: no two see it open.
-            f64::from(self.owned(k, (room + draw(s.info.id.0, 0)).floor() as u32))
+            f64::from(self.owned(k, ((1.0 - blind) * seen + draw(s.info.id.0, 0)).floor() as u32))
         };
         self.kinds[s.kind].cores = cores.max(1.0);
         let s = &mut self.servers[k];
@@ -369,6 +377,53 @@
         s.weight = 1.0 / (s.info.rating * s.warmth).max(1e-6);
     }
 
+    /// Which part of what servers hold is not known: others' attempts that began or ended since their word.
+    /// Without any word slots are shared out in another way.
+    fn blindness(&self) -> f64 {
+        let others = 1.0 - 1.0 / f64::from(self.cfg.proxies);
+        if self.cfg.may_tell { others * (1.0 - (-self.news / self.mean).exp()) } else { 0.0 }
+    }
+
+    /// What a server can take from all proxies in an epoch: what it works off (Little), and what lacks to
+    /// its room, made good no faster than it shows. Until its speed is known nothing is held back.
+    fn supply(&self, k: usize, held: f64) -> f64 {
+        let (s, kind) = (&self.servers[k], &self.kinds[self.servers[k].kind]);
+        if kind.slow.1 < KIND_WEIGHT {
+            return f64::INFINITY;
+        }
+        let worked_off = held.max(kind.cores) * s.warmth / (self.mean * kind.slow.0.max(0.2));
+        (EPOCH * (worked_off + self.lacks(k, held))).max(0.0)
+    }
+
+    /// What lacks to a server's room, by the time in which it shows that it was made good.
+    fn lacks(&self, k: usize, held: f64) -> f64 {
+        (self.servers[k].room * self.servers[k].warmth - held) / (self.news + self.mean)
+    }
+
+    /// What all proxies want of it in an epoch for keys at home there, judged by this one's part. Those
+    /// that wait here for it alone are too few to judge by: one of them would pass for one at each proxy.
+    fn demand(&self, k: usize) -> f64 {
+        let all = f64::from(self.cfg.proxies) * (EPOCH * self.rate + self.crowd);
+        all * self.servers[k].info.rating / self.rating
+    }
+
+    /// With which chance this proxy may use, for an epoch, what of a server is idle and not its own: if word
+    /// is fresh one proxy is to come for each idle slot, else one waiting request for each that it lacks.
+    fn chance(&self, k: usize, held: f64) -> f64 {
+        let blind = self.blindness();
+        let seen = self.servers[k].room * self.servers[k].warmth - held;
+        let lacks = EPOCH * self.lacks(k, held) / self.crowd.max(CROWD_LEAST);
+        ((1.0 - blind) * seen + blind * lacks) / f64::from(self.cfg.proxies)
+    }
+
+    /// Whether a request is among those of its epoch that its home has room for.
+    fn admitted(&self, k: usize, id: RequestId) -> bool {
+        let s = &self.servers[k];
+        // Requests bear the same numbers everywhere, so the proxy's own goes in.
+        let own = draw(id.0, u64::from(self.cfg.me)).to_bits() ^ (self.ticks / REVIEW);
+        s.free && draw(own, s.info.id.0) < s.gate
+    }
+
     /// Learns from an answer how slow a server is; failures and cold servers prove nothing of their like.
     fn learn(&mut self, k: usize, class: usize, latency: Millis, home: bool, lone: bool) {
         self.learn_gain(k, class, latency, home, CLASS_SAMPLES);
@@ -522,6 +577,7 @@
         out.push(Action::Timer { token: 0, at: now + TICK });
         self.ticks += 1;
         self.settle(now, TICK);
+        self.crowd += TICK / CROWD_SPAN * (self.waiting as f64 - self.crowd);
         for q in 0..self.queues.len() {
             let late = |r: &Request| now + MARGIN.max(0.5 * self.usual(r)) > self.end(r);
             let useless = |id: &RequestId| self.requests.get(id).is_some_and(|r| r.waiting && late(r));
@@ -639,15 +695,4 @@
             self.rate(k, self.warmth(k, now), now);
         }
     }
-
-    /// Tells the other proxies what this one holds where, as often as its budget of bytes allows.
-    fn tell(&mut self, now: Millis, out: &mut Vec<Action>) {
-        let cost = (HEAD + 2 * (self.running.len() + self.ghosts.len())) as f64;
-        let due = self.credit >= cost || now - self.told_at > STALE / 2.0;
-        if self.cfg.may_tell && self.cfg.proxies > 1 && due {
-            self.news += 0.1 * (now - self.told_at - self.news); // others tell about as often
-            (self.credit, self.told_at) = (self.credit - cost, now);
-            out.push(Action::Broadcast(pack(self.cfg.zone, &self.servers, now)));
-        }
-    }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -230,6 +230,9 @@
 }
 
 impl Outcome {
+    /// How many there are.
+    pub const COUNT: usize = Outcome::Moot as usize + 1;
+
     /// Whether the attempt may have had its effect.
     pub fn may_have_run(self) -> bool {
         !matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! The records that the choices keep, and the plumbing under them. Nothing is decided here.
 use crate::choice::{BACKOFF, BAND_RATIO, BANDS, RATE_SPAN, SPREAD_SAMPLES, STALE, UNMEASURED, WINDOW_LEAST};
 use crate::interface::*;
-use crate::message::{short, unpack};
+use crate::message::{Peer, short};
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 
@@ -49,6 +49,7 @@
     pub weight: f64,               // inverse weight in the choice of a key's home
     pub line: VecDeque<RequestId>, // waiting requests of its keys, some perhaps no longer
     pub free: bool,                // a request of its keys may come
+    pub gate: f64,                 // and with this chance in each epoch
     pub wanted: u32,               // waiting requests whose key is at home here
     pub slot_band: usize,          // where its own slots are filed, and how many
     pub slots: f64,
@@ -58,23 +59,11 @@
 impl Server {
     pub fn new(info: Backend, classes: usize, now: Millis) -> Self {
         let (health, slow) = (Health::clean(now), (1.0, 0.0));
-        let by_class = vec![health.clone(); classes];
-        let (room, warmth, cost, weight, rest) = (1.0, 1.0, 1.0, 1.0, Server::default());
-        let (progress, tokens_at, present) = (now, now, 1.0);
-        Server {
-            info,
-            health,
-            slow,
-            by_class,
-            room,
-            warmth,
-            cost,
-            weight,
-            progress,
-            tokens_at,
-            present,
-            ..rest
-        }
+        let mut s =
+            Server { info, slow, by_class: vec![health.clone(); classes], health, ..Server::default() };
+        (s.room, s.warmth, s.cost, s.weight, s.present) = (1.0, 1.0, 1.0, 1.0, 1.0);
+        (s.progress, s.tokens_at) = (now, now);
+        s
     }
 
     /// Whether it is in one group with the server of an earlier attempt.
@@ -229,13 +218,6 @@
     }
 }
 
-/// What another proxy told last.
-pub(crate) struct Peer {
-    pub heard: Millis,
-    pub holds: Vec<(usize, usize)>, // servers, and whether it crosses zones to them
-    pub blames: Vec<usize>,
-}
-
 const MOST_SLOTS: u32 = 1024; // of a server: a bound on work, whatever a list says
 /// Spreads the bits of a number.
 pub(crate) fn mix(mut x: u64) -> u64 {
@@ -282,12 +264,13 @@
     pub(crate) arrivals: f64,
     pub(crate) rate: f64, // arrivals per ms
     pub(crate) rate_at: Millis,
-    pub(crate) allowance: Vec<f64>, // requests that each tenant may still ask for within its share
-    pub(crate) retries: f64,        // further attempts that the budget allows
+    pub(crate) crowd: f64,             // mean of the requests that wait
+    pub(crate) allowance: Vec<f64>,    // requests that each tenant may still ask for within its share
+    pub(crate) retries: f64,           // further attempts that the budget allows
     pub(crate) hints: Vec<(f64, f64)>, // mean hint by class, and its weight
-    pub(crate) ambient: Vec<f64>,   // failure mean of a middling server, as a whole and for each class
-    pub(crate) doubt: bool,         // so many servers look ill that health is not believed
-    pub(crate) success: f64,        // running mean of attempts that were served
+    pub(crate) ambient: Vec<f64>,      // failure mean of a middling server, as a whole and for each class
+    pub(crate) doubt: bool,            // so many servers look ill that health is not believed
+    pub(crate) success: f64,           // running mean of attempts that were served
     pub(crate) ticks: u64,
     pub(crate) peers: Vec<Option<Peer>>,
     pub(crate) zones: Vec<Option<ZoneId>>, // where the proxies stand, as told
@@ -331,6 +314,7 @@
             arrivals: 0.0,
             rate: 0.0,
             rate_at: 0.0,
+            crowd: 0.0,
             allowance: vec![1.0; cfg.tenants.len()],
             retries: 2.0,
             hints: vec![(1.0, 0.0); cfg.classes.len()],
@@ -493,30 +477,6 @@
         if weight > 0.0 { (sum / weight).max(0.01) } else { 1.0 }
     }
 
-    pub(crate) fn hear(&mut self, now: Millis, from: usize, bytes: &[u8]) {
-        let Some((zone, blames, holds)) = unpack(bytes, &self.names).filter(|_| from < self.peers.len())
-        else {
-            return;
-        };
-        let before = self.unhear(from);
-        blames.iter().for_each(|&k| self.servers[k].blame += 1);
-        let holds: Vec<_> = holds.iter().map(|&k| (k, usize::from(self.servers[k].crosses(zone)))).collect();
-        holds.iter().for_each(|&(k, way)| self.servers[k].peers[way] += 1);
-        for &(k, _) in before.iter().chain(&holds) {
-            self.place(k, now);
-        }
-        self.zones[from] = zone;
-        self.peers[from] = Some(Peer { heard: now, holds, blames });
-    }
-
-    /// Takes back what a peer told before; returns the servers where it held something.
-    fn unhear(&mut self, from: usize) -> Vec<(usize, usize)> {
-        let Some(p) = self.peers[from].take() else { return Vec::new() };
-        p.blames.iter().for_each(|&k| self.servers[k].blame -= 1);
-        p.holds.iter().for_each(|&(k, way)| self.servers[k].peers[way] -= 1);
-        p.holds
-    }
-
     /// The part of its capacity that a server surely has: it warms at least evenly.
     pub(crate) fn warmth(&self, k: usize, now: Millis) -> f64 {
         let l = &self.cfg.limits;
@@ -622,11 +582,7 @@
             self.servers[k].own -= 1;
             self.place(k, now);
         }
-        for from in 0..self.peers.len() {
-            if self.peers[from].as_ref().is_some_and(|p| now - p.heard > STALE) {
-                self.unhear(from).into_iter().for_each(|(k, _)| self.place(k, now));
-            }
-        }
+        self.forget_silent(now);
     }
 }
 
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -561,3 +561,76 @@
     assert!(still_open(17), "one in seventeen fails anywhere");
     assert!(!still_open(10_000), "nothing else fails");
 }
+
+/// Proxies of a large fleet that know how fast their one server is, and what one of them tells while it holds
+/// `n` requests there.
+fn fleet_with_one_server(proxies: u32) -> (Vec<Hand>, impl Fn(u64) -> Vec<u8>) {
+    let cfg = |me, proxies| Settings { me, proxies, warm_keys: true, may_tell: true, ..settings(1) };
+    let keyed = |id| Event::Request {
+        id: RequestId(id),
+        class: ClassId(0),
+        tenant: None,
+        key: Some(Key(id)),
+        budget: 2000.0,
+        hint: None,
+    };
+    let hands = (0..proxies).map(|me| {
+        let mut hand = Hand::new(cfg(me, proxies), vec![server(1)]);
+        for id in 0..12 {
+            let sent = sends(&hand.give(keyed(id)));
+            assert_eq!(sent, [(id, 1)], "an idle server is used");
+            hand.pass(50.0);
+            hand.give(ended(id, 0, 50.0, Outcome::Served));
+            hand.pass(4000.0); // together they use it for half the time
+        }
+        hand
+    });
+    let word = move |n| {
+        let mut hand = Hand::new(cfg(0, 2), vec![server(1)]);
+        (0..n).for_each(|id| assert_eq!(sends(&hand.give(keyed(id))).len(), 1));
+        let told = hand.pass(300.0);
+        let told = told.iter().rev().find_map(|a| if let Action::Broadcast(b) = a { Some(b) } else { None });
+        told.expect("it tells now and then").clone()
+    };
+    (hands.collect(), word)
+}
+
+#[test]
+fn what_all_proxies_of_a_fleet_see_free_is_not_rushed_by_all() {
+    // zone+vast: 100 proxies saw a slot come free a quarter of a second late and each sent something there.
+    let (mut hands, word) = fleet_with_one_server(40);
+    let (full, idle) = (word(1), word(0));
+    let mut sent = 0;
+    for hand in &mut hands {
+        for round in 0..5 {
+            (1..5).for_each(|from| drop(hand.give(Event::Message { from, bytes: full.clone() })));
+            let (id, key) = (RequestId(100 + round), Some(Key(round)));
+            let (class, tenant, hint) = (ClassId(0), None, None);
+            hand.give(Event::Request { id, class, tenant, key, budget: 2000.0, hint });
+            hand.pass(100.0);
+        }
+        (1..5).for_each(|from| {
+            sent += sends(&hand.give(Event::Message { from, bytes: idle.clone() })).len();
+        });
+        sent += sends(&hand.pass(90.0)).len();
+    }
+    assert!((1..=hands.len() / 2).contains(&sent), "{sent} of 40 proxies' requests for one server");
+}
+
+#[test]
+fn a_fleet_that_knows_little_of_its_servers_gives_them_a_little_more() {
+    // herd+vast: a server counted as full with one request, though it was idle again long before that showed.
+    let (mut hands, word) = fleet_with_one_server(40);
+    let one = word(1);
+    let request = Event::Request {
+        id: RequestId(100),
+        class: ClassId(0),
+        tenant: None,
+        key: Some(Key(100)),
+        budget: 2000.0,
+        hint: None,
+    };
+    let hand = &mut hands[7];
+    hand.give(Event::Message { from: 1, bytes: one });
+    assert_eq!(sends(&hand.give(request)), [(100, 1)]);
+}
