Keep a proxy's own slots whole however old others' word is

The line at fault is Balancer::size: it took slots from their owners as far as others' word is old, but whose a slot is follows from a hash that all share and that does not age.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -368,7 +368,7 @@
             1.0 // one slot on every server
         } else {
             // Each slot belongs to one proxy, of the server's zone if there is one: no two see it open.
-            f64::from(self.owned(k, ((1.0 - blind) * seen + draw(s.info.id.0, 0)).floor() as u32))
+            f64::from(self.owned(k, (seen + draw(s.info.id.0, 0)).floor() as u32))
         };
         self.kinds[s.kind].cores = cores.max(1.0);
         let s = &mut self.servers[k];
