Listen on a second address for operators: figures, health and the drain of a proxy

Cause: nothing listened on `admin_addr`, and `Frontend::draining` could only be set by SIGTERM, together with the end of the listener. Ruled out: a slow answer to the call, there was no socket to call.

- `admin`: hyper, one call a connection, in a thread of its own; twelve callers at a time, 1.5 s each.
- `metrics`: one owner; a request holds a `Taken`, which ends in one count or, when the client has left, in none.
Attempts count when the meter sees their last byte go out.
- Drain: a second reason beside SIGTERM for `Frontend::draining`: `/up` says no, answers carry `Connection: close`, connections idle for 2 s are closed, the listener stays.

--- a/src/bin/sandgap/config.rs
+++ b/src/bin/sandgap/config.rs
@@ -17,6 +17,7 @@
 struct File {
     name: String,
     listen: SocketAddr,
+    admin_addr: Option<SocketAddr>,
     discovery: SocketAddr,
     seed: Value,
     #[serde(default)]
@@ -47,6 +48,8 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
+    /// The second address, for operators.
+    pub admin: Option<SocketAddr>,
     pub discovery: SocketAddr,
     pub seed: u64,
     /// File descriptors that the process may hold.
@@ -89,6 +92,7 @@
     Ok(Config {
         name: file.name,
         listen: file.listen,
+        admin: file.admin_addr,
         discovery: file.discovery,
         seed: seed(&file.seed).ok_or("'seed' is neither text nor a whole number")?,
         sockets,
--- a/src/bin/sandgap/driver.rs
+++ b/src/bin/sandgap/driver.rs
@@ -5,6 +5,8 @@
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rustc_hash::FxHashMap;
@@ -16,9 +18,11 @@
     Scope, State, TenantId, ZoneId,
 };
 
+use crate::admin::{Command, Order};
 use crate::discovery::{self, Host};
 use crate::frontend::OpenId;
 use crate::log::Tally;
+use crate::metrics::Metrics;
 use crate::note;
 use crate::peers::Peers;
 use crate::upstream::{Endpoint, Outgoing, Reply, Upstreams};
@@ -26,6 +30,7 @@
 /// What the client is told has to be on its way this long before the client gives up, whatever happens.
 const LAST_RESORT: Duration = Duration::from_millis(4);
 const SWEEP: Duration = Duration::from_secs(1); // between looks at idle connections
+const GAUGE: Duration = Duration::from_millis(100); // between counts of the list
 const TALLY: Duration = Duration::from_secs(5); // between lines that sum up what was done
 /// Zones and kinds that are told apart: a bound, whatever discovery comes up with over the years.
 const NAMES: usize = 250;
@@ -130,6 +135,8 @@
 
 /// What the driver needs of the other parts.
 pub struct Parts {
+    /// What operators ask for.
+    pub commands: mpsc::UnboundedReceiver<Command>,
     pub inbox: Inbox,
     pub upstreams: Rc<Upstreams>,
     pub peers: Option<Rc<Peers>>,
@@ -137,10 +144,11 @@
     pub discovery: watch::Receiver<SocketAddr>,
     /// Told when the module wants a watch.
     pub watch: Rc<Notify>,
-    /// Set once discovery has told the list.
-    pub ready: Rc<Cell<bool>>,
+    pub metrics: Arc<Metrics>,
     /// Set once there is a remembered list to serve from.
     pub remembered: Rc<Cell<bool>>,
+    /// Whether the operators have taken the proxy out of service.
+    pub drained: Rc<Cell<bool>>,
 }
 
 /// Runs the module on what comes in.
@@ -178,10 +186,12 @@
     pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
         let mut sweep = Instant::now() + SWEEP;
         let mut tally = Instant::now() + TALLY;
+        let mut gauge = Instant::now();
         loop {
             let next = self.due.peek().map_or(sweep, |Reverse((at, _))| (*at).min(sweep));
             tokio::select! {
-                biased;
+                biased; // operators wait for their answer, and their word goes before what clients want
+                Some(command) = self.parts.commands.recv() => self.obey(command),
                 () = sleep_until(next) => {}
                 input = inputs.recv() => match input {
                     Some(input) => self.take(input),
@@ -196,6 +206,10 @@
                     Due::LastResort(id) => self.last_resort(id),
                 }
             }
+            if now >= gauge {
+                self.gauge();
+                gauge = now + GAUGE;
+            }
             if now >= sweep {
                 self.parts.upstreams.sweep();
                 sweep = now + SWEEP;
@@ -208,6 +222,25 @@
         }
     }
 
+    /// Carries out what an operator asks for, and answers once it holds.
+    fn obey(&mut self, Command { order, done }: Command) {
+        let yes = match order {
+            Order::Drain(drain) => {
+                self.parts.drained.set(drain);
+                true
+            }
+            Order::Maintain(_) | Order::Ready(_) => false,
+        };
+        let _ = done.send(yes); // a caller that has left needs no answer
+    }
+
+    /// Notes what the figures show of the list.
+    fn gauge(&self) {
+        let (members, avoided) = self.balancer.members(self.clock.at(Instant::now()));
+        self.parts.metrics.members.store(members, Relaxed);
+        self.parts.metrics.members_unavailable.store(avoided, Relaxed);
+    }
+
     fn take(&mut self, input: Input) {
         match input {
             Input::Request(arrival) => self.request(*arrival),
@@ -310,7 +343,7 @@
         let some = !entries.is_empty();
         self.handle(Event::List { scope, entries });
         match scope {
-            Scope::Full => self.parts.ready.set(true),
+            Scope::Full => self.parts.metrics.ready.store(true, Relaxed),
             Scope::Cached => self.parts.remembered.set(some),
             Scope::Delta | Scope::Failed => {}
         }
--- a/src/bin/sandgap/frontend.rs
+++ b/src/bin/sandgap/frontend.rs
@@ -7,6 +7,8 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -27,6 +29,7 @@
 use wharfhitch::{Class, ClassId, Effect, Key, RequestId, TenantId};
 
 use crate::driver::{Answer, Arrival, Inbox, Input};
+use crate::metrics::{End, Metrics, Taken};
 use crate::note;
 use crate::upstream::{BODY, Outgoing, Upstreams, end_sending, poll_read, poll_write, strip};
 
@@ -132,10 +135,11 @@
     pub upstreams: Rc<Upstreams>,
     /// Sockets for clients and backends together.
     pub budget: usize,
-    /// Whether the module has a list.
-    pub ready: Rc<Cell<bool>>,
+    pub metrics: Arc<Metrics>,
     next: Cell<u64>,
-    draining: Cell<bool>,
+    /// Whether the operators have taken the proxy out of service, and whether the process ends.
+    drained: Rc<Cell<bool>>,
+    stopping: Cell<bool>,
     /// Connections, those of them with an open request, and the others by stage and age.
     open: Cell<usize>,
     busy: Cell<usize>,
@@ -149,7 +153,7 @@
 impl Frontend {
     pub fn new(
         inbox: Inbox, names: Names, classes: Vec<Class>, upstreams: Rc<Upstreams>, budget: usize,
-        ready: Rc<Cell<bool>>,
+        metrics: Arc<Metrics>, drained: Rc<Cell<bool>>,
     ) -> Rc<Self> {
         Rc::new(Frontend {
             inbox,
@@ -157,9 +161,10 @@
             classes,
             upstreams,
             budget,
-            ready,
+            metrics,
             next: Cell::new(0),
-            draining: Cell::new(false),
+            drained,
+            stopping: Cell::new(false),
             open: Cell::new(0),
             busy: Cell::new(0),
             empty: Cell::new(Instant::now()),
@@ -187,7 +192,7 @@
             }
         }
         // Idle connections close now: a request that crosses that comes again while connections still do.
-        self.draining.set(true);
+        self.stopping.set(true);
         self.close_all(Stage::Idle);
         let end = Instant::now() + STAY;
         while timeout_at(end, self.clone().accept(&listener)).await.is_ok() {}
@@ -205,6 +210,11 @@
         }
     }
 
+    /// Whether clients are asked to go elsewhere.
+    fn draining(&self) -> bool {
+        self.drained.get() || self.stopping.get()
+    }
+
     /// Connections that are let in: what backends leave of the budget, less a little for what they need next.
     fn most(&self) -> usize {
         self.budget - self.budget / NEXT - self.upstreams.in_use()
@@ -321,7 +331,8 @@
         let unheard =
             unheard.iter().flat_map(|s| standing[*s as usize].values()).filter(|c| c.due.get() <= now);
         let idle = standing[Stage::Idle as usize].values();
-        let idle = idle.take_while(|c| now - c.since.get() >= IDLE_MOST);
+        let most = if self.draining() { IDLE_LEAST } else { IDLE_MOST };
+        let idle = idle.take_while(|c| now - c.since.get() >= most);
         unheard.chain(idle).for_each(|c| c.close.notify_one());
     }
 
@@ -338,12 +349,15 @@
                 front.turn(&client, Stage::Busy);
                 let over = front.busy.get() > front.budget / BUSY.1 * BUSY.0;
                 let mut response = if over {
+                    if let Ok(asked) = front.check(request.method(), request.uri(), request.headers()) {
+                        front.taken(&asked).end(End::Rejected);
+                    }
                     plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
                 } else {
                     front.respond(request, came, client.due.get()).await
                 };
                 // Where one request was wrong, nobody knows where the next one would begin.
-                if over || front.draining.get() || response.status().is_client_error() {
+                if over || front.draining() || response.status().is_client_error() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 } else {
                     front.turn(&client, Stage::Idle);
@@ -395,7 +409,7 @@
         &self, request: Request<Incoming>, came: Instant, due: Instant,
     ) -> Response<Full<Bytes>> {
         if request.uri().path() == "/up" {
-            let up = self.ready.get() && !self.draining.get();
+            let up = self.metrics.ready.load(Relaxed) && !self.draining();
             return plain(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         let (head, body) = request.into_parts();
@@ -427,6 +441,7 @@
         let id = RequestId(self.number());
         let (answer, answered) = oneshot::channel();
         let message = Outgoing { method: head.method, uri: target(&head.uri), headers, body };
+        let taken = self.taken(&asked);
         let Asked { class, tenant, key, hint, .. } = asked;
         self.inbox.put(Input::Request(Box::new(Arrival {
             id,
@@ -445,21 +460,31 @@
         leaves.waits = false;
         match answer {
             Ok(Answer::Served(reply)) => {
+                taken.end(End::Completed);
                 let mut response = Response::new(Full::new(reply.body));
                 *response.headers_mut() = reply.headers;
                 response
             }
             Ok(Answer::Refused(after)) => {
+                taken.end(End::Rejected);
                 let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "try again");
                 if let Some(after) = after.and_then(|ms| format!("{:.3}", ms / 1000.0).parse().ok()) {
                     response.headers_mut().insert(header::RETRY_AFTER, after);
                 }
                 response
             }
-            Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
+            Ok(Answer::Failed) | Err(_) => {
+                taken.end(End::Failed);
+                plain(StatusCode::BAD_GATEWAY, "failed")
+            }
         }
     }
 
+    /// Notes that a request has been taken.
+    fn taken(&self, asked: &Asked) -> Taken {
+        self.metrics.take(&self.names.classes[asked.class.0])
+    }
+
     /// Reads what the module has to know; what can't be right goes no further.
     fn check(
         &self, method: &Method, uri: &Uri, headers: &HeaderMap,
--- a/src/bin/sandgap/main.rs
+++ b/src/bin/sandgap/main.rs
@@ -1,10 +1,12 @@
 //! The reverse proxy: clients, backends, discovery and peers on sockets, every decision in the module.
 
+mod admin;
 mod config;
 mod discovery;
 mod driver;
 mod frontend;
 mod log;
+mod metrics;
 mod peers;
 mod upstream;
 
@@ -13,15 +15,18 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 use wharfhitch::{Balancer, Scope};
 
 use config::Config;
 use driver::{Driver, Inbox, Input, Parts};
+use metrics::Metrics;
 
 /// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch.
 const RESERVE: usize = 32;
@@ -29,14 +34,18 @@
 const PATIENCE: Duration = Duration::from_millis(500);
 
 /// At each SIGHUP reads the configuration's file again. Discovery may have moved; all else needs a new start.
-async fn reload(mut hup: Signal, path: PathBuf, discovery: watch::Sender<SocketAddr>) {
+async fn reload(mut hup: Signal, path: PathBuf, discovery: watch::Sender<SocketAddr>, metrics: Arc<Metrics>) {
     while hup.recv().await.is_some() {
         match config::read(&path) {
             Ok(Config { discovery: address, .. }) => {
                 note!("the configuration names discovery at {address}");
+                metrics.config_reloads.fetch_add(1, Relaxed);
                 discovery.send_if_modified(|old| std::mem::replace(old, address) != address);
             }
-            Err(e) => note!("the configuration stays as it was: {e}"),
+            Err(e) => {
+                note!("the configuration stays as it was: {e}");
+                metrics.config_reload_errors.fetch_add(1, Relaxed);
+            }
         }
     }
 }
@@ -51,9 +60,12 @@
     let hup = signal(SignalKind::hangup()).map_err(at("SIGHUP"))?;
     note!("{}: {:?}", config.name, config.settings);
     let (discovery, addresses) = watch::channel(config.discovery);
-    spawn_local(reload(hup, path, discovery));
+    let metrics = Arc::new(Metrics::default());
+    config.names.classes.iter().for_each(|class| metrics.show(class));
+    spawn_local(reload(hup, path, discovery, metrics.clone()));
     let listener = frontend::listen(config.listen).map_err(at(&format!("listen on {}", config.listen)))?;
     let (inbox, inputs) = Inbox::new();
+    let (orders, commands) = mpsc::unbounded_channel();
     let peers = match config.peers {
         Some(addresses) => {
             let on = format!("peers on {}", addresses.listen);
@@ -66,18 +78,20 @@
     let budget = config.sockets - RESERVE;
     // The module sends to a backend only while it has a free slot there, but clients come as they like: most
     // of the budget is theirs.
-    let upstreams = Rc::new(upstream::Upstreams::new(&config.connections, budget / 4));
-    let ready = Rc::new(Cell::new(false));
+    let upstreams = Rc::new(upstream::Upstreams::new(&config.connections, budget / 4, metrics.clone()));
     let known_only = Rc::new(Cell::new(false));
+    let drained = Rc::new(Cell::new(false));
     let asked = Rc::new(Notify::new());
     let parts = Parts {
+        commands,
         inbox: inbox.clone(),
         upstreams: upstreams.clone(),
         peers,
         discovery: addresses.clone(),
         watch: asked.clone(),
-        ready: ready.clone(),
+        metrics: metrics.clone(),
         remembered: known_only.clone(),
+        drained: drained.clone(),
     };
     let classes = config.settings.classes.clone();
     let pushed = config.settings.discovery == wharfhitch::Discovery::Pushed;
@@ -85,14 +99,20 @@
     let driver = spawn_local(Driver::new(balancer, config.names.clone(), parts).run(inputs));
     inbox.put(Input::List(Scope::Cached, discovery::remembered(&config.known).unwrap_or_default()));
     spawn_local(discovery::follow(addresses, inbox.clone(), (!pushed).then_some(asked)));
-    let up = ready.clone();
+    let up = metrics.clone();
     spawn_local(async move {
         tokio::time::sleep(PATIENCE).await;
-        up.set(up.get() || known_only.get());
+        up.ready.fetch_or(known_only.get(), Relaxed);
     });
-    let front = frontend::Frontend::new(inbox, config.names, classes, upstreams, budget, ready);
+    let front =
+        frontend::Frontend::new(inbox, config.names, classes, upstreams, budget, metrics.clone(), drained);
     let address = listener.local_addr().map_err(at("the listener"))?;
     note!("{} listens on {address}", config.name);
+    if let Some(address) = config.admin {
+        let desk = admin::Desk { commands: orders, metrics };
+        let address = admin::start(address, desk).map_err(at(&format!("listen on {address}")))?;
+        note!("{} has its second address at {address}", config.name);
+    }
     let stop = async move {
         tokio::select! {
             _ = term.recv() => {}
@@ -109,7 +129,11 @@
 fn start() -> Result<(), String> {
     let path = std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?;
     let path = PathBuf::from(path);
-    let config = config::read(&path)?;
+    let mut config = config::read(&path)?;
+    if let (None, Some(address)) = (config.admin, std::env::var_os("NODE_ADMIN_ADDR")) {
+        let address = address.to_str().and_then(|a| a.parse().ok());
+        config.admin = Some(address.ok_or("NODE_ADMIN_ADDR is no address")?);
+    }
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
     let outcome = LocalSet::new().block_on(&runtime, run(path, config));
--- a/src/bin/sandgap/upstream.rs
+++ b/src/bin/sandgap/upstream.rs
@@ -7,6 +7,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use wharfhitch::Outcome;
 
+use crate::metrics::Metrics;
+
 /// Bytes of a body, by the protocol.
 pub const BODY: usize = 64 << 10;
 /// A pooled connection is retired after this part of the span after which a backend closes it.
@@ -119,6 +122,8 @@
     blank: Cell<usize>,
     /// Bytes of the body still to be written.
     left: Cell<usize>,
+    /// Where requests that have been written whole are counted.
+    metrics: Option<Arc<Metrics>>,
     /// Since when a part of an answer has been there without its end.
     partial: Cell<Option<Instant>>,
     read: Notify,
@@ -172,6 +177,14 @@
 
     fn wrote(&self, bytes: &[u8]) {
         self.begun.set(self.begun.get() || !bytes.is_empty());
+        let before = self.complete();
+        self.follow(bytes);
+        if let Some(metrics) = self.metrics.as_ref().filter(|_| !before && self.complete()) {
+            metrics.upstream_requests.fetch_add(1, Relaxed);
+        }
+    }
+
+    fn follow(&self, bytes: &[u8]) {
         let mut rest = bytes;
         while self.blank.get() < BLANK.len() {
             let Some((&byte, after)) = rest.split_first() else { return };
@@ -256,6 +269,7 @@
 
 /// What all attempts share: time-outs and the budget of sockets.
 pub struct Upstreams {
+    metrics: Arc<Metrics>,
     dial_timeout: Duration,
     idle_limit: Duration,
     sockets: Arc<Semaphore>,
@@ -267,9 +281,12 @@
 }
 
 impl Upstreams {
-    pub fn new(connections: &wharfhitch::settings::Connections, sockets: usize) -> Self {
+    pub fn new(
+        connections: &wharfhitch::settings::Connections, sockets: usize, metrics: Arc<Metrics>,
+    ) -> Self {
         let span = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3.6e6) / 1000.0);
         Upstreams {
+            metrics,
             dial_timeout: span(connections.dial_timeout),
             idle_limit: span(connections.idle_close * IDLE_PART),
             sockets: Arc::new(Semaphore::new(sockets)),
@@ -332,7 +349,7 @@
         self.dials.set(self.dials.get() + 1);
         let stream = Rc::new(TcpStream::connect(address).await?);
         stream.set_nodelay(true)?;
-        let meter = Rc::new(Meter::default());
+        let meter = Rc::new(Meter { metrics: Some(self.metrics.clone()), ..Meter::default() });
         let io = Metered { stream: stream.clone(), meter: meter.clone(), _permit: permit };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BODY)
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -310,9 +310,7 @@
     pub(crate) fn place(&mut self, k: usize, now: Millis) {
         let (s, ticks) = (&self.servers[k], self.ticks / REVIEW);
         let (band, warmth) = (s.band, s.warmth);
-        let ill = s.health.closed > now || s.blame > 1 && now - s.progress > STALE;
-        // Doubt opens servers that look ill, not those that are merely full.
-        let usable = s.told.is_none() && (!ill || self.doubt && !s.full);
+        let usable = self.usable(s, now);
         let cold = s.fresh && warmth < 1.0;
         let allowed = usable && (!s.health.trial || s.own == 0) && (!cold || s.tokens >= 1.0);
         let (held, room) = (s.load(self.cfg.zone), s.room * warmth);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 #[cfg(feature = "settings")]
 pub mod settings;
 mod state;
+mod upkeep;
 
 pub use choice::threshold;
 pub use interface::*;
--- /dev/null
+++ b/tests/operations.rs
@@ -0,0 +1,106 @@
+//! What operators do with a running proxy, through its second address and its signals.
+mod sockets;
+
+use std::io::{Read, Write};
+
+use sockets::*;
+
+fn operated() -> Setup {
+    Setup { admin: true, ..Setup::default() }
+}
+
+fn status(answer: Option<Message>) -> u16 {
+    answer.expect("an answer").status()
+}
+
+#[test]
+fn figures_count_each_request_once_at_its_end() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let backend = Backend::with(move |request| match request.id() {
+        "r-held" => Deed::Hold(held.clone(), ok("")),
+        "r-bad" => Deed::Write(empty("500 Oops")),
+        _ => Deed::Write(ok("")),
+    });
+    let discovery = Discovery::new();
+    let proxy = Proxy::start(&discovery, &operated());
+    assert_eq!(proxy.call("GET /healthcheck").status(), 503);
+    discovery.say(&all_up(&[&backend]));
+    wait_for("/healthcheck", || proxy.call("GET /healthcheck").status() == 200);
+    assert_eq!(status(Client::new(&proxy).ask(&page("r-1"))), 200);
+    assert_eq!(status(Client::new(&proxy).ask(&submit("r-bad", "5", "x"))), 502);
+    let mut waits = Client::new(&proxy);
+    waits.send(&page("r-held"));
+    wait_for("a pending request", || proxy.figure("/pending") == 1);
+    assert_eq!(proxy.figure("/completed/page"), 1);
+    assert_eq!(proxy.figure("/failed/submit"), 1);
+    assert_eq!(proxy.figure("/rejected/booking"), 0);
+    wait_for("three attempts", || proxy.figure("/upstream_requests") == 3);
+    wait_for("one backend", || proxy.figure("/members") == 1);
+    gate.open();
+    assert_eq!(status(waits.answer()), 200);
+    wait_for("its end", || proxy.figure("/pending") == 0);
+    assert_eq!(proxy.figure("/completed/page"), 2);
+}
+
+#[test]
+fn a_request_refused_for_want_of_a_backend_counts_as_rejected() {
+    let discovery = Discovery::new();
+    discovery.say(&list(1, true, &[]));
+    let proxy = Proxy::up(&discovery, &operated());
+    assert_eq!(status(Client::new(&proxy).ask(&page("r-1"))), 503);
+    assert_eq!(proxy.figure("/rejected/page"), 1);
+    assert_eq!(proxy.figure("/pending"), 0);
+}
+
+#[test]
+fn callers_that_finish_no_call_delay_nobody_and_are_closed() {
+    let discovery = Discovery::new();
+    discovery.say(&list(1, true, &[]));
+    let proxy = Proxy::up(&discovery, &operated());
+    let mut stalled: Vec<_> = (0..40).map(|_| proxy.caller()).collect();
+    stalled.iter_mut().for_each(|s| s.write_all(b"GET /sta").expect("it is there"));
+    assert_eq!(proxy.call("GET /stats").status(), 200);
+    for mut caller in stalled {
+        let mut answer = Vec::new();
+        let _ = caller.read_to_end(&mut answer); // closed or reset, either is an end
+        assert!(!answer.starts_with(b"HTTP/1.1 2"));
+    }
+}
+
+#[test]
+fn what_is_no_call_is_turned_down() {
+    let discovery = Discovery::new();
+    discovery.say(&list(1, true, &[]));
+    let proxy = Proxy::up(&discovery, &operated());
+    for (call, wanted) in
+        [("GET /", 404), ("PUT /stats", 405), ("GET /healthcheck/fail", 405), ("PUT /backends/s-0/none", 404)]
+    {
+        assert_eq!(proxy.call(call).status(), wanted, "{call}");
+    }
+}
+
+#[test]
+fn a_drained_proxy_sends_its_clients_away_and_comes_back() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let mut proxy = Proxy::up(&discovery, &operated());
+    let (mut used, mut idle) = (Client::new(&proxy), Client::new(&proxy));
+    assert_eq!(status(used.ask(&page("r-1"))), 200);
+    assert_eq!(status(idle.ask(&page("r-2"))), 200);
+    assert_eq!(proxy.call("PUT /healthcheck/fail").status(), 200);
+    assert!(!proxy.is_up());
+    assert_eq!(proxy.call("GET /healthcheck").status(), 200, "the process itself is well");
+    // Who is connected is served once more, and new connections still are.
+    let answer = used.ask(&page("r-3")).expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(used.is_closed());
+    assert!(idle.is_closed(), "in the end");
+    assert_eq!(Client::new(&proxy).ask(&page("r-4")).expect("an answer").header("connection"), Some("close"));
+    assert_eq!(proxy.call("PUT /healthcheck/ok").status(), 200);
+    assert!(proxy.is_up());
+    let answer = Client::new(&proxy).ask(&page("r-5")).expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, None));
+    assert!(proxy.runs());
+}
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -275,6 +275,8 @@
     /// Of every class; its aim is four fifths of it.
     pub deadline: u32,
     pub may_tell: Option<(SocketAddr, SocketAddr)>,
+    /// Whether it has a second address.
+    pub admin: bool,
     /// Descriptors that the system allows the process.
     pub descriptors: Option<u32>,
 }
@@ -288,6 +290,7 @@
             dial_timeout: 400,
             deadline: 5000,
             may_tell: None,
+            admin: false,
             descriptors: None,
         }
     }
@@ -299,8 +302,9 @@
     let peers = setup.may_tell.map_or(String::new(), |(own, other)| {
         format!(r#""peer_listen":"{own}","peers":["{own}","{other}"],"peers_all":"{other}","#)
     });
+    let admin = if setup.admin { r#""admin_addr":"127.0.0.1:0","# } else { "" };
     format!(
-        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        r#"{{"name":"n0","listen":"127.0.0.1:0",{admin}"discovery":"{discovery}","seed":"8c1f30d27a5be964",
         "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},{peers}"known":{},
         "settings":{{"zone":"a","zones":["a"],"flavors":["k"],"nInstances":{},"myNumber":0,"discovery":"pushed",
         "weightSource":"nominal","accounts":[{{"name":"acme","allowancePerS":1000}}],
@@ -375,6 +379,41 @@
         Client::new(self).ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").is_some_and(|m| m.status() == 200)
     }
 
+    /// What follows a text in the log, up to the end of the line.
+    fn told(&self, text: &str) -> Option<String> {
+        let log = self.log.lock().expect("no panic");
+        let (_, rest) = log.split_once(text)?;
+        Some(rest.split_once('\n')?.0.to_owned())
+    }
+
+    /// A new connection to the second address.
+    pub fn caller(&self) -> TcpStream {
+        let mut address = None;
+        wait_for("the second address", || {
+            address = self.told("second address at ");
+            address.is_some()
+        });
+        let stream = TcpStream::connect(address.expect("just seen")).expect("the second address accepts");
+        stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
+        stream
+    }
+
+    /// A call to the second address, whose connection has to end with it.
+    pub fn call(&self, call: &str) -> Message {
+        let mut caller = BufReader::new(self.caller());
+        write!(caller.get_mut(), "{call} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+            .expect("it reads");
+        let answer = read_message(&mut caller).expect("an answer");
+        assert!(matches!(caller.read(&mut [0; 1]), Ok(0)), "one call to a connection");
+        answer
+    }
+
+    /// A figure, by its path.
+    pub fn figure(&self, path: &str) -> u64 {
+        let stats: serde_json::Value = serde_json::from_slice(&self.call("GET /stats").body).expect("JSON");
+        stats.pointer(path).and_then(|v| v.as_u64()).unwrap_or_else(|| panic!("no {path} in {stats}"))
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
