Take a backend out of use and put it back at an operator's word, laid over the list

Cause: the driver had no way to tell the module of a server but the list's lines (`Driver::list`). Ruled out: rewriting those lines, after which `record` takes the return for the end of a drain, warm at once.

The module keeps what operators said by server id (`Overlay`), lays it over every line in `record`, and takes a server that is back for started at that moment until the list tells of a start since it was taken out. The driver closes the backend's connections at once, also one that is just coming up, and knows the ids that were ever listed (10,000 at most).

--- a/src/bin/sandgap/driver.rs
+++ b/src/bin/sandgap/driver.rs
@@ -2,14 +2,14 @@
 
 use std::cell::Cell;
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 use wharfhitch::settings::{Names, index_of, number_of};
@@ -34,6 +34,8 @@
 const TALLY: Duration = Duration::from_secs(5); // between lines that sum up what was done
 /// Zones and kinds that are told apart: a bound, whatever discovery comes up with over the years.
 const NAMES: usize = 250;
+/// Backends whose ids are remembered.
+const LISTED: usize = 10_000;
 
 /// What happens outside the module.
 pub enum Input {
@@ -162,8 +164,10 @@
     due: BinaryHeap<Reverse<(Instant, Due)>>,
     actions: Vec<Action>,
     tally: Tally,
+    /// Backends that have ever been listed.
+    listed: Listed,
     /// When discovery last said something.
-    listed: Instant,
+    told: Instant,
 }
 
 impl Driver {
@@ -178,7 +182,8 @@
             due: BinaryHeap::new(),
             actions: Vec::new(),
             tally: Tally::default(),
-            listed: Instant::now(),
+            listed: Listed::default(),
+            told: Instant::now(),
         }
     }
 
@@ -215,7 +220,7 @@
                 sweep = now + SWEEP;
                 if now >= tally {
                     self.tally.dials = self.parts.upstreams.dialed();
-                    self.tally.tell(self.listed.elapsed());
+                    self.tally.tell(self.told.elapsed());
                     tally = now + TALLY;
                 }
             }
@@ -229,11 +234,25 @@
                 self.parts.drained.set(drain);
                 true
             }
-            Order::Maintain(_) | Order::Ready(_) => false,
+            Order::Maintain(host) => self.maintain(&host, true),
+            Order::Ready(host) => self.maintain(&host, false),
         };
         let _ = done.send(yes); // a caller that has left needs no answer
     }
 
+    /// Takes a backend out of use or puts it back; no if it has never been listed.
+    fn maintain(&mut self, host: &str, banned: bool) -> bool {
+        let id = BackendId(number_of(host));
+        if !self.listed.contains(id) {
+            return false;
+        }
+        if let Some(endpoint) = self.endpoints.get(&id) {
+            endpoint.set_banned(banned);
+        }
+        self.handle(Event::Maintenance { backend: id, banned });
+        true
+    }
+
     /// Notes what the figures show of the list.
     fn gauge(&self) {
         let (members, avoided) = self.balancer.members(self.clock.at(Instant::now()));
@@ -325,7 +344,7 @@
         let whole = matches!(scope, Scope::Full | Scope::Cached);
         let entries: Vec<Backend> = hosts.into_iter().map(|host| self.backend(host)).collect();
         if whole {
-            let listed: rustc_hash::FxHashSet<BackendId> = entries.iter().map(|e| e.id).collect();
+            let listed: FxHashSet<BackendId> = entries.iter().map(|e| e.id).collect();
             // Attempts that are out keep what they need of a backend that has left.
             self.endpoints.retain(|id, endpoint| {
                 let stays = listed.contains(id);
@@ -336,7 +355,7 @@
             });
         }
         match scope {
-            Scope::Full | Scope::Delta => self.listed = Instant::now(),
+            Scope::Full | Scope::Delta => self.told = Instant::now(),
             Scope::Failed => self.tally.asked[1] += 1,
             Scope::Cached => {}
         }
@@ -352,6 +371,7 @@
     /// Notes where a backend is, and whether something new may go there.
     fn backend(&mut self, host: Host) -> Backend {
         let id = BackendId(number_of(&host.host));
+        self.listed.add(id);
         let state = match host.health.as_str() {
             "up" if host.dial.is_some() => State::Up,
             "removed" => State::Gone,
@@ -361,6 +381,7 @@
             let same = |e: &Rc<Endpoint>| e.address == address && e.born_ms == host.born_ms;
             if !self.endpoints.get(&id).is_some_and(same) {
                 let endpoint = Endpoint::new(address, host.born_ms);
+                endpoint.set_banned(self.balancer.in_maintenance(id));
                 self.parts.upstreams.add(&endpoint);
                 if let Some(old) = self.endpoints.insert(id, endpoint) {
                     old.set_open(false);
@@ -461,6 +482,30 @@
     }
 }
 
+/// The backends that were listed last, listed or not at present: a bound, as they come and go for ever.
+#[derive(Default)]
+struct Listed {
+    ids: FxHashSet<BackendId>,
+    order: VecDeque<BackendId>,
+}
+
+impl Listed {
+    fn contains(&self, id: BackendId) -> bool {
+        self.ids.contains(&id)
+    }
+
+    fn add(&mut self, id: BackendId) {
+        if self.ids.insert(id) {
+            self.order.push_back(id);
+            if self.order.len() > LISTED
+                && let Some(oldest) = self.order.pop_front()
+            {
+                self.ids.remove(&oldest); // if it is still listed, its next line adds it again
+            }
+        }
+    }
+}
+
 /// The number of a zone or kind; past `NAMES` of them, what is new has none.
 fn known(names: &mut Vec<String>, name: &str) -> Option<u32> {
     (names.len() < NAMES || names.iter().any(|n| n == name)).then(|| index_of(names, name) as u32)
--- a/src/bin/sandgap/upstream.rs
+++ b/src/bin/sandgap/upstream.rs
@@ -58,12 +58,20 @@
     pub born_ms: f64,
     /// Drains, is gone or has been replaced: nothing new is written to it.
     closed: Cell<bool>,
+    /// Taken out of use by an operator.
+    banned: Cell<bool>,
     idle: RefCell<Vec<Idle>>,
 }
 
 impl Endpoint {
     pub fn new(address: SocketAddr, born_ms: f64) -> Rc<Self> {
-        Rc::new(Endpoint { address, born_ms, closed: Cell::new(false), idle: RefCell::default() })
+        Rc::new(Endpoint {
+            address,
+            born_ms,
+            closed: Cell::new(false),
+            banned: Cell::new(false),
+            idle: RefCell::default(),
+        })
     }
 
     /// Whether something new may go there. Closing also drops the idle connections.
@@ -74,8 +82,16 @@
         }
     }
 
+    /// Takes it out of use, whatever the list says, or puts it back.
+    pub fn set_banned(&self, banned: bool) {
+        self.banned.set(banned);
+        if banned {
+            self.idle.borrow_mut().clear();
+        }
+    }
+
     pub fn is_open(&self) -> bool {
-        !self.closed.get()
+        !self.closed.get() && !self.banned.get()
     }
 }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -104,6 +104,7 @@
             Event::Ended { request, attempt, latency, outcome, closed, .. } => {
                 self.ended(now, request, attempt as usize, latency, outcome, closed, out);
             }
+            Event::Maintenance { backend, banned } => self.maintain(now, backend, banned),
             Event::Abandoned(id) => self.finish(id),
             Event::Timer(0) => self.tick(now, out),
             Event::Timer(token) => self.answer(RequestId(token - 1), out), // its time is up
@@ -678,7 +679,7 @@
 
     // ---- discovery and peers ----
 
-    fn list(&mut self, now: Millis, scope: Scope, entries: Vec<Backend>) {
+    pub(crate) fn list(&mut self, now: Millis, scope: Scope, entries: Vec<Backend>) {
         if scope == Scope::Failed {
             // Ask again, but not all proxies at once.
             (self.subscribed, self.ask_at) = (false, now + 500.0 + 1500.0 * self.rng.f64());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -284,6 +284,13 @@
         /// Whether the request is finished.
         closed: bool,
     },
+    /// An operator takes a server out of use, or puts it back; a list can't.
+    Maintenance {
+        /// The server, listed or not.
+        backend: BackendId,
+        /// Whether nothing more may go there.
+        banned: bool,
+    },
     /// The client has gone; no answer is owed any more.
     Abandoned(RequestId),
     /// A timer set with [`Action::Timer`] is due.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod choice;
 pub mod interface;
+mod listing;
 mod message;
 #[cfg(feature = "settings")]
 pub mod settings;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,8 @@
 //! The records that the choices keep, and the plumbing under them. Nothing is decided here.
 use crate::choice::{BACKOFF, BAND_RATIO, BANDS, RATE_SPAN, SPREAD_SAMPLES, STALE, UNMEASURED, WINDOW_LEAST};
 use crate::interface::*;
-use crate::message::{Peer, short};
+use crate::message::Peer;
+use crate::upkeep::Overlay;
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 
@@ -279,6 +280,7 @@
     pub(crate) news: Millis, // mean span between this proxy's messages
     pub(crate) subscribed: bool,
     pub(crate) ask_at: Millis,
+    pub(crate) overlay: Overlay,
 }
 
 impl Balancer {
@@ -329,6 +331,7 @@
             news: STALE,
             subscribed: false,
             ask_at: 0.0,
+            overlay: Overlay::default(),
             cfg,
         }
     }
@@ -490,81 +493,6 @@
         r.attempts.iter().find(|a| a.ran).map(|a| (a.server, group, a.sent + window))
     }
 
-    /// Places for servers, vacant ones included.
-    pub fn places(&self) -> usize {
-        self.servers.len()
-    }
-
-    /// Gives a new server a place, one that has become vacant if there is one.
-    fn settle_in(&mut self, server: Server) -> usize {
-        let id = server.info.id;
-        let k = self.vacant.pop().unwrap_or(self.servers.len());
-        if k == self.servers.len() {
-            self.servers.push(server)
-        } else {
-            self.servers[k] = server
-        }
-        self.index.insert(id, k);
-        self.names.insert(short(id), k);
-        k
-    }
-
-    /// Makes the places of servers that have left vacant once no request, slot or peer refers to them:
-    /// servers come and go for as long as the process runs.
-    pub(crate) fn reclaim(&mut self, now: Millis) {
-        let left = |s: &Server| s.info.state == State::Gone && s.own == 0 && s.wanted == 0;
-        let mut free: Vec<bool> = self.servers.iter().map(left).collect();
-        self.vacant.iter().for_each(|&k| free[k] = false);
-        let requests = self.requests.values();
-        let asked = requests.flat_map(|r| r.attempts.iter().map(|a| a.server).chain(r.home));
-        let peers = self
-            .peers
-            .iter()
-            .flatten()
-            .flat_map(|p| p.holds.iter().map(|h| h.0).chain(p.blames.iter().copied()));
-        asked.chain(peers).chain(self.ghosts.iter().map(|g| g.1)).for_each(|k| free[k] = false);
-        for k in (0..free.len()).filter(|&k| free[k]) {
-            self.place(k, now); // takes it out of its band
-            self.index.retain(|_, place| *place != k);
-            self.names.retain(|_, place| *place != k);
-            self.vacant.push(k);
-        }
-    }
-
-    /// Notes a line of the server list; returns the server.
-    fn record(&mut self, now: Millis, mut e: Backend) -> usize {
-        e.rating = if e.rating.is_finite() && e.rating > 0.0 { e.rating } else { 1.0 };
-        let k = match self.index.get(&e.id) {
-            Some(&k) => k,
-            None => self.settle_in(Server::new(e.clone(), self.cfg.classes.len(), now)),
-        };
-        let s = &mut self.servers[k];
-        s.told = if e.state == State::Up { None } else { s.told.or(Some(now)) };
-        s.restarted |= s.info.since != e.since || e.since.is_some() && !s.fresh;
-        s.kind = e.kind.map_or(0, |k| k.0 as usize + 1);
-        let kinds = self.kinds.len().max(s.kind + 1);
-        self.kinds.resize_with(kinds, Kind::default);
-        s.info = e;
-        k
-    }
-
-    /// Notes the lines of a list; returns their servers, and with a full list those that have left too.
-    pub(crate) fn record_all(&mut self, now: Millis, full: bool, entries: Vec<Backend>) -> Vec<usize> {
-        let mut listed: Vec<usize> = entries.into_iter().map(|e| self.record(now, e)).collect();
-        if full {
-            let mut left = vec![true; self.servers.len()];
-            listed.iter().for_each(|&k| left[k] = false);
-            for k in (0..left.len()).filter(|&k| left[k]) {
-                let s = &mut self.servers[k];
-                (s.told, s.info.state) = (s.told.or(Some(now)), State::Gone);
-                listed.push(k);
-            }
-        }
-        let ratings = self.servers.iter().filter(|s| s.told.is_none()).map(|s| s.info.rating);
-        self.rating = ratings.sum::<f64>().max(1e-6);
-        listed
-    }
-
     /// Brings counters up to date: arrival rate, allowances, slots of attempts given up, silent peers.
     pub(crate) fn settle(&mut self, now: Millis, tick: Millis) {
         let span = now - self.rate_at;
--- a/src/upkeep.rs
+++ b/src/upkeep.rs
@@ -2,8 +2,58 @@
 use crate::choice::STALE;
 use crate::interface::*;
 use crate::state::*;
+use rustc_hash::FxHashMap;
+
+/// What operators have said of servers; it is laid over each line of the list.
+#[derive(Default)]
+pub(crate) struct Overlay {
+    /// Those in maintenance, and since when.
+    banned: FxHashMap<BackendId, Millis>,
+    /// Those back from it: since when they were in it, and when they came back.
+    back: FxHashMap<BackendId, (Millis, Millis)>,
+}
+
+impl Overlay {
+    pub fn is_banned(&self, id: BackendId) -> bool {
+        self.banned.contains_key(&id)
+    }
+
+    /// When a server last started. What comes back from maintenance was most likely restarted there, and the
+    /// list may tell so only later: until it does, the return counts as the start.
+    pub fn since(&mut self, e: &Backend) -> Option<Millis> {
+        match self.back.get(&e.id) {
+            Some(&(away, back)) if e.since.is_none_or(|since| since < away) => Some(back),
+            Some(_) => {
+                self.back.remove(&e.id);
+                e.since
+            }
+            None => e.since,
+        }
+    }
+}
 
 impl Balancer {
+    /// Takes a server out of use or puts it back, however often that is said.
+    pub(crate) fn maintain(&mut self, now: Millis, id: BackendId, banned: bool) {
+        if banned {
+            self.overlay.banned.entry(id).or_insert(now);
+        } else if let Some(away) = self.overlay.banned.remove(&id) {
+            self.overlay.back.retain(|_, (_, back)| now - *back < self.cfg.limits.cold); // others are warm
+            self.overlay.back.insert(id, (away, now));
+        } else {
+            return; // it is in use
+        }
+        if let Some(&k) = self.index.get(&id) {
+            let known = self.servers[k].info.clone();
+            self.list(now, Scope::Delta, vec![known]);
+        }
+    }
+
+    /// Whether an operator has taken a server out of use.
+    pub fn in_maintenance(&self, id: BackendId) -> bool {
+        self.overlay.is_banned(id)
+    }
+
     /// Listed servers, and those of them that get nothing at present.
     pub fn members(&self, now: Millis) -> (usize, usize) {
         let listed = || self.servers.iter().filter(|s| s.info.state != State::Gone);
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -104,3 +104,31 @@
     assert_eq!((answer.status(), answer.header("connection")), (200, None));
     assert!(proxy.runs());
 }
+
+#[test]
+fn a_backend_in_maintenance_gets_nothing_whatever_the_list_says() {
+    let (one, two) = (Backend::new(Deed::Write(ok("one"))), Backend::new(Deed::Write(ok("two"))));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&one, &two]));
+    let proxy = Proxy::up(&discovery, &operated());
+    assert_eq!(proxy.call("PUT /backends/s-9/maint").status(), 404, "never listed");
+    assert_eq!(proxy.call("PUT /backends/s-9/ready").status(), 404);
+    assert_eq!(proxy.call("PUT /backends/s-0/maint").status(), 200);
+    let before = one.seen().len();
+    let ask = |id: usize| Client::new(&proxy).ask(&page(&format!("r-{id}"))).expect("an answer").text();
+    (0..10).for_each(|id| assert_eq!(ask(id), "two"));
+    // Restarted elsewhere, as the list tells.
+    discovery.say(&list(2, false, &[host("s-0", one.address, "removed", 0)]));
+    discovery.say(&list(3, false, &[host("s-0", one.address, "up", 1)]));
+    wait_for("two members again", || proxy.figure("/members") == 2);
+    assert_eq!(proxy.figure("/members_unavailable"), 1);
+    (10..20).for_each(|id| assert_eq!(ask(id), "two"));
+    assert_eq!(one.seen().len(), before);
+    assert_eq!(proxy.call("PUT /backends/s-0/ready").status(), 200);
+    let mut id = 20;
+    wait_for("its use", || {
+        id += 1;
+        ask(id) == "one"
+    });
+    wait_for("two in use", || proxy.figure("/members_unavailable") == 0);
+}
