Upgrade beside the running process: passed socket, one handover file, shared budgets

Evidence: the second process ended with "listen on ...: Address already in use" (`frontend::listen`), and after that would have ended on the peers' UDP address (`Peers::bind`). Ruled out: `NODE_PASSED_SOCKET` read wrongly, nothing read it.

- The passed descriptor is checked to be a socket and adopted: the one `unsafe` expression, under `deny` elsewhere.
- `handover`: processes and their stages, bans, drain, ids once listed, list, speeds in one file, replaced by rename under a lock; broken or missing it is survived.
Orders are written before their yes, and so is that a process can serve before `/healthcheck` says so: a test showed the old process miss a successor that had said yes 50 ms before.
- While two run each has half of the descriptors, own slots and cold budgets (`Event::Twin`); at SIGTERM with a successor that serves, the old one stops accepting at once and lets connections end with their next answer.

--- a/src/bin/sandgap/discovery.rs
+++ b/src/bin/sandgap/discovery.rs
@@ -10,7 +10,7 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot, watch};
@@ -29,7 +29,7 @@
 const MOST: usize = 4 << 20; // bytes of a line
 
 /// One line of the list.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Host {
     pub host: String,
     /// Where it is reached; `None` if that can't be read.
--- a/src/bin/sandgap/driver.rs
+++ b/src/bin/sandgap/driver.rs
@@ -14,13 +14,14 @@
 use tokio::time::{Instant, sleep_until};
 use wharfhitch::settings::{Names, index_of, number_of};
 use wharfhitch::{
-    Action, Backend, BackendId, Balancer, CellId, ClassId, Event, Key, KindId, Millis, Outcome, RequestId,
-    Scope, State, TenantId, ZoneId,
+    Action, Backend, BackendId, Balancer, CellId, ClassId, Event, Key, KindId, Learnt, Millis, Outcome,
+    RequestId, Scope, State, TenantId, ZoneId,
 };
 
 use crate::admin::{Command, Order};
 use crate::discovery::{self, Host};
 use crate::frontend::OpenId;
+use crate::handover::{Handover, Speeds, State as Left};
 use crate::log::Tally;
 use crate::metrics::Metrics;
 use crate::note;
@@ -30,6 +31,8 @@
 /// What the client is told has to be on its way this long before the client gives up, whatever happens.
 const LAST_RESORT: Duration = Duration::from_millis(4);
 const SWEEP: Duration = Duration::from_secs(1); // between looks at idle connections
+/// If discovery has said nothing by then, the remembered list is served from.
+const PATIENCE: Duration = Duration::from_millis(500);
 const GAUGE: Duration = Duration::from_millis(100); // between counts of the list
 const TALLY: Duration = Duration::from_secs(5); // between lines that sum up what was done
 /// Zones and kinds that are told apart: a bound, whatever discovery comes up with over the years.
@@ -147,10 +150,10 @@
     /// Told when the module wants a watch.
     pub watch: Rc<Notify>,
     pub metrics: Arc<Metrics>,
-    /// Set once there is a remembered list to serve from.
-    pub remembered: Rc<Cell<bool>>,
     /// Whether the operators have taken the proxy out of service.
     pub drained: Rc<Cell<bool>>,
+    /// Where another process of this proxy may run beside this one.
+    pub handover: Option<Rc<Handover>>,
 }
 
 /// Runs the module on what comes in.
@@ -166,6 +169,12 @@
     tally: Tally,
     /// Backends that have ever been listed.
     listed: Listed,
+    /// The list as it stands.
+    hosts: FxHashMap<BackendId, Host>,
+    /// Whether there is a remembered list to serve from.
+    remembers: bool,
+    /// Whether the module knows of another process.
+    twin: bool,
     /// When discovery last said something.
     told: Instant,
 }
@@ -183,6 +192,9 @@
             actions: Vec::new(),
             tally: Tally::default(),
             listed: Listed::default(),
+            hosts: FxHashMap::default(),
+            remembers: false,
+            twin: false,
             told: Instant::now(),
         }
     }
@@ -191,7 +203,8 @@
     pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
         let mut sweep = Instant::now() + SWEEP;
         let mut tally = Instant::now() + TALLY;
-        let mut gauge = Instant::now();
+        let started = Instant::now();
+        let mut gauge = started;
         loop {
             let next = self.due.peek().map_or(sweep, |Reverse((at, _))| (*at).min(sweep));
             tokio::select! {
@@ -213,6 +226,10 @@
             }
             if now >= gauge {
                 self.gauge();
+                if self.remembers && started.elapsed() >= PATIENCE {
+                    self.serve();
+                }
+                self.share(now >= sweep);
                 gauge = now + GAUGE;
             }
             if now >= sweep {
@@ -232,7 +249,7 @@
         let yes = match order {
             Order::Drain(drain) => {
                 self.parts.drained.set(drain);
-                true
+                self.hand_on(|left| left.drained = drain)
             }
             Order::Maintain(host) => self.maintain(&host, true),
             Order::Ready(host) => self.maintain(&host, false),
@@ -246,11 +263,110 @@
         if !self.listed.contains(id) {
             return false;
         }
+        self.ban(id, banned);
+        self.hand_on(|left| {
+            left.bans.retain(|other| *other != id.0);
+            left.bans.extend(banned.then_some(id.0));
+        })
+    }
+
+    fn ban(&mut self, id: BackendId, banned: bool) {
         if let Some(endpoint) = self.endpoints.get(&id) {
             endpoint.set_banned(banned);
         }
         self.handle(Event::Maintenance { backend: id, banned });
-        true
+    }
+
+    /// Writes down for the other process, if there may be one, what an order has changed; false if it can't.
+    fn hand_on(&self, change: impl FnOnce(&mut Left)) -> bool {
+        let Some(handover) = &self.parts.handover else { return true };
+        let done = handover.update(change);
+        if let Err(e) = &done {
+            note!("the handover: {e}");
+        }
+        done.is_ok()
+    }
+
+    /// Keeps up with the other process of this proxy, and keeps what it needs written down.
+    fn share(&mut self, save: bool) {
+        let Some(handover) = self.parts.handover.clone() else { return };
+        if save {
+            handover.look();
+        }
+        if let Some(left) = handover.news() {
+            self.follow(&left);
+        }
+        if self.twin != handover.twin() {
+            self.twin = handover.twin();
+            note!(
+                "{}",
+                if self.twin { "another process runs beside this one" } else { "this process runs alone" }
+            );
+            self.handle(Event::Twin(self.twin));
+        }
+        if save && handover.owner() {
+            self.save();
+        }
+    }
+
+    /// Writes down what a successor needs.
+    fn save(&self) {
+        let listed = self.listed.ids.iter().map(|id| id.0).collect();
+        let (hosts, speeds) = (self.hosts.values().cloned().collect(), self.speeds());
+        self.hand_on(|left| (left.listed, left.hosts, left.speeds) = (listed, hosts, speeds));
+    }
+
+    /// From here on the process can serve. That is written down before it is said.
+    fn serve(&mut self) {
+        if self.parts.handover.as_ref().is_some_and(|h| h.serves()) {
+            self.save();
+        }
+        self.parts.metrics.ready.store(true, Relaxed);
+    }
+
+    /// What the other process was ordered holds here too.
+    fn follow(&mut self, left: &Left) {
+        self.parts.drained.set(left.drained);
+        left.listed.iter().for_each(|id| self.listed.add(BackendId(*id)));
+        let held = self.balancer.maintained();
+        let lifted = held.iter().filter(|id| !left.bans.contains(&id.0));
+        lifted.for_each(|id| self.ban(*id, false));
+        let new = left.bans.iter().map(|id| BackendId(*id)).filter(|id| !held.contains(id));
+        new.for_each(|id| self.ban(id, true));
+    }
+
+    /// Begins with what a predecessor has left.
+    pub fn resume(&mut self, left: Left) {
+        self.follow(&left);
+        let Left { hosts, speeds, .. } = left;
+        if !hosts.is_empty() {
+            self.list(Scope::Cached, hosts);
+        }
+        let own = |id: &u64| BackendId(*id);
+        let at = |unix: f64| unix - self.clock.unix_start;
+        let class = |name: &String| speeds.classes.get(name).copied().unwrap_or_default();
+        let kind = |name: &str| speeds.kinds.get(name).copied().unwrap_or_default();
+        let kinds = std::iter::once("").chain(self.names.kinds.iter().map(String::as_str));
+        self.balancer.resume(Learnt {
+            servers: speeds.servers.iter().map(|(id, slow)| (own(id), *slow)).collect(),
+            classes: self.names.classes.iter().map(class).collect(),
+            kinds: kinds.map(kind).collect(),
+            back: speeds.back.iter().map(|(id, away, back)| (own(id), at(*away), at(*back))).collect(),
+        });
+    }
+
+    fn speeds(&self) -> Speeds {
+        let learnt = self.balancer.learnt();
+        let at = |time: f64| time + self.clock.unix_start;
+        let kinds = std::iter::once("").chain(self.names.kinds.iter().map(String::as_str));
+        let kinds = kinds.map(str::to_owned).zip(learnt.kinds);
+        Speeds {
+            servers: learnt.servers.into_iter().map(|(id, slow)| (id.0, slow)).collect(),
+            classes: self.names.classes.iter().cloned().zip(learnt.classes).collect(),
+            // What has not been measured is infinite, which the file's form can't say.
+            kinds: kinds.filter(|(_, (_, calm, _))| calm.is_finite()).collect(),
+            back: learnt.back.into_iter().map(|(id, away, back)| (id.0, at(away), at(back))).collect(),
+        }
     }
 
     /// Notes what the figures show of the list.
@@ -342,6 +458,17 @@
 
     fn list(&mut self, scope: Scope, hosts: Vec<Host>) {
         let whole = matches!(scope, Scope::Full | Scope::Cached);
+        if whole {
+            self.hosts.clear();
+        }
+        for host in &hosts {
+            let id = BackendId(number_of(&host.host));
+            if host.health == "removed" {
+                self.hosts.remove(&id);
+            } else {
+                self.hosts.insert(id, host.clone());
+            }
+        }
         let entries: Vec<Backend> = hosts.into_iter().map(|host| self.backend(host)).collect();
         if whole {
             let listed: FxHashSet<BackendId> = entries.iter().map(|e| e.id).collect();
@@ -362,8 +489,8 @@
         let some = !entries.is_empty();
         self.handle(Event::List { scope, entries });
         match scope {
-            Scope::Full => self.parts.metrics.ready.store(true, Relaxed),
-            Scope::Cached => self.parts.remembered.set(some),
+            Scope::Full => self.serve(),
+            Scope::Cached => self.remembers |= some,
             Scope::Delta | Scope::Failed => {}
         }
     }
--- a/src/bin/sandgap/frontend.rs
+++ b/src/bin/sandgap/frontend.rs
@@ -29,6 +29,7 @@
 use wharfhitch::{Class, ClassId, Effect, Key, RequestId, TenantId};
 
 use crate::driver::{Answer, Arrival, Inbox, Input};
+use crate::handover::Handover;
 use crate::metrics::{End, Metrics, Taken};
 use crate::note;
 use crate::upstream::{BODY, Outgoing, Upstreams, end_sending, poll_read, poll_write, strip};
@@ -58,6 +59,8 @@
 const QUIET: Duration = Duration::from_millis(20);
 /// A connection that has sent nothing is waited for this much longer.
 const SILENT: Duration = Duration::from_millis(200);
+/// With a successor, connections are used for this long after SIGTERM before those that are idle are closed.
+const LAST_USE: Duration = Duration::from_millis(450);
 /// What the last answers may take to go out, after the longest deadline.
 const FINISH: Duration = Duration::from_millis(200);
 /// A connection asked to close that neither reads nor writes for this span is cut.
@@ -127,14 +130,27 @@
     }
 }
 
+/// Sockets for clients and backends together.
+pub struct Budget {
+    pub whole: usize,
+    /// While another process of this proxy runs beside this one.
+    pub shared: usize,
+    pub handover: Option<Rc<Handover>>,
+}
+
+impl Budget {
+    fn now(&self) -> usize {
+        if self.handover.as_ref().is_some_and(|h| h.twin()) { self.shared } else { self.whole }
+    }
+}
+
 /// What all connections share.
 pub struct Frontend {
     pub inbox: Inbox,
     pub names: Names,
     pub classes: Vec<Class>,
     pub upstreams: Rc<Upstreams>,
-    /// Sockets for clients and backends together.
-    pub budget: usize,
+    pub budget: Budget,
     pub metrics: Arc<Metrics>,
     next: Cell<u64>,
     /// Whether the operators have taken the proxy out of service, and whether the process ends.
@@ -152,7 +168,7 @@
 
 impl Frontend {
     pub fn new(
-        inbox: Inbox, names: Names, classes: Vec<Class>, upstreams: Rc<Upstreams>, budget: usize,
+        inbox: Inbox, names: Names, classes: Vec<Class>, upstreams: Rc<Upstreams>, budget: Budget,
         metrics: Arc<Metrics>, drained: Rc<Cell<bool>>,
     ) -> Rc<Self> {
         Rc::new(Frontend {
@@ -191,8 +207,29 @@
                 () = self.clone().accept(&listener) => {}
             }
         }
-        // Idle connections close now: a request that crosses that comes again while connections still do.
         self.stopping.set(true);
+        if self.budget.handover.as_ref().is_some_and(|h| h.leave()) {
+            // The successor takes who comes. Those who are here leave with their next answer, if one comes soon:
+            // a connection closed before could cross a request.
+            drop(listener);
+            sleep(LAST_USE).await;
+            self.close_all(Stage::Idle);
+            self.close_all(Stage::Silent);
+        } else {
+            self.accept_last(listener).await;
+        }
+        let longest = self.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+        let end = Instant::now() + Duration::from_secs_f64(longest.min(1e6) / 1000.0) + FINISH;
+        while self.busy.get() > 0 {
+            if timeout_at(end, self.left.notified()).await.is_err() {
+                return note!("ended with connections open");
+            }
+        }
+    }
+
+    /// Takes those who still come, for as long as the front sends any.
+    async fn accept_last(self: &Rc<Self>, listener: TcpListener) {
+        // Idle connections close now: a request that crosses that comes again while connections still do.
         self.close_all(Stage::Idle);
         let end = Instant::now() + STAY;
         while timeout_at(end, self.clone().accept(&listener)).await.is_ok() {}
@@ -201,13 +238,6 @@
         drop(listener);
         sleep(SILENT).await;
         self.close_all(Stage::Silent);
-        let longest = self.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
-        let end = Instant::now() + Duration::from_secs_f64(longest.min(1e6) / 1000.0) + FINISH;
-        while self.busy.get() > 0 {
-            if timeout_at(end, self.left.notified()).await.is_err() {
-                return note!("ended with connections open");
-            }
-        }
     }
 
     /// Whether clients are asked to go elsewhere.
@@ -217,7 +247,8 @@
 
     /// Connections that are let in: what backends leave of the budget, less a little for what they need next.
     fn most(&self) -> usize {
-        self.budget - self.budget / NEXT - self.upstreams.in_use()
+        let budget = self.budget.now();
+        (budget - budget / NEXT).saturating_sub(self.upstreams.in_use())
     }
 
     async fn accept(self: Rc<Self>, listener: &TcpListener) {
@@ -347,7 +378,7 @@
                 let queued = client.queued.take().filter(|_| client.accepted.elapsed() < GRACE);
                 let came = queued.unwrap_or_else(Instant::now);
                 front.turn(&client, Stage::Busy);
-                let over = front.busy.get() > front.budget / BUSY.1 * BUSY.0;
+                let over = front.busy.get() > front.budget.now() / BUSY.1 * BUSY.0;
                 let mut response = if over {
                     if let Ok(asked) = front.check(request.method(), request.uri(), request.headers()) {
                         front.taken(&asked).end(End::Rejected);
--- a/src/bin/sandgap/main.rs
+++ b/src/bin/sandgap/main.rs
@@ -5,6 +5,7 @@
 mod discovery;
 mod driver;
 mod frontend;
+mod handover;
 mod log;
 mod metrics;
 mod peers;
@@ -17,8 +18,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
-use std::time::Duration;
 
+use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
@@ -26,12 +27,11 @@
 
 use config::Config;
 use driver::{Driver, Inbox, Input, Parts};
+use handover::Handover;
 use metrics::Metrics;
 
 /// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch.
 const RESERVE: usize = 32;
-/// If discovery has said nothing by then, the remembered list is served from.
-const PATIENCE: Duration = Duration::from_millis(500);
 
 /// At each SIGHUP reads the configuration's file again. Discovery may have moved; all else needs a new start.
 async fn reload(mut hup: Signal, path: PathBuf, discovery: watch::Sender<SocketAddr>, metrics: Arc<Metrics>) {
@@ -63,23 +63,35 @@
     let metrics = Arc::new(Metrics::default());
     config.names.classes.iter().for_each(|class| metrics.show(class));
     spawn_local(reload(hup, path, discovery, metrics.clone()));
-    let listener = frontend::listen(config.listen).map_err(at(&format!("listen on {}", config.listen)))?;
+    let (listener, handover, left) = match std::env::var_os("NODE_PASSED_SOCKET") {
+        Some(number) => {
+            let listener =
+                TcpListener::from_std(handover::passed(&number)?).map_err(at("the passed socket"))?;
+            let folder = std::env::temp_dir();
+            let (handover, left) = Handover::open(&folder, &config.name).map_err(at("the handover"))?;
+            (listener, Some(Rc::new(handover)), left)
+        }
+        None => {
+            let on = format!("listen on {}", config.listen);
+            (frontend::listen(config.listen).map_err(at(&on))?, None, None)
+        }
+    };
     let (inbox, inputs) = Inbox::new();
     let (orders, commands) = mpsc::unbounded_channel();
     let peers = match config.peers {
         Some(addresses) => {
             let on = format!("peers on {}", addresses.listen);
-            let peers = peers::Peers::bind(addresses).await.map_err(at(&on))?;
+            let peers = peers::Peers::bind(addresses, handover.is_some()).map_err(at(&on))?;
             spawn_local(peers.clone().listen(inbox.clone()));
             Some(peers)
         }
         None => None,
     };
-    let budget = config.sockets - RESERVE;
+    let shared = (config.sockets / 2).saturating_sub(RESERVE).max(RESERVE / 2);
+    let budget = frontend::Budget { whole: config.sockets - RESERVE, shared, handover: handover.clone() };
     // The module sends to a backend only while it has a free slot there, but clients come as they like: most
     // of the budget is theirs.
-    let upstreams = Rc::new(upstream::Upstreams::new(&config.connections, budget / 4, metrics.clone()));
-    let known_only = Rc::new(Cell::new(false));
+    let upstreams = Rc::new(upstream::Upstreams::new(&config.connections, budget.whole / 4, metrics.clone()));
     let drained = Rc::new(Cell::new(false));
     let asked = Rc::new(Notify::new());
     let parts = Parts {
@@ -90,20 +102,22 @@
         discovery: addresses.clone(),
         watch: asked.clone(),
         metrics: metrics.clone(),
-        remembered: known_only.clone(),
         drained: drained.clone(),
+        handover: handover.clone(),
     };
     let classes = config.settings.classes.clone();
     let pushed = config.settings.discovery == wharfhitch::Discovery::Pushed;
     let balancer = Balancer::new(config.settings, config.seed);
-    let driver = spawn_local(Driver::new(balancer, config.names.clone(), parts).run(inputs));
-    inbox.put(Input::List(Scope::Cached, discovery::remembered(&config.known).unwrap_or_default()));
+    let mut driver = Driver::new(balancer, config.names.clone(), parts);
+    if left.as_ref().is_none_or(|left| left.hosts.is_empty()) {
+        let known = discovery::remembered(&config.known).unwrap_or_default();
+        inbox.put(Input::List(Scope::Cached, known));
+    }
+    if let Some(left) = left {
+        driver.resume(left);
+    }
+    let driver = spawn_local(driver.run(inputs));
     spawn_local(discovery::follow(addresses, inbox.clone(), (!pushed).then_some(asked)));
-    let up = metrics.clone();
-    spawn_local(async move {
-        tokio::time::sleep(PATIENCE).await;
-        up.ready.fetch_or(known_only.get(), Relaxed);
-    });
     let front =
         frontend::Frontend::new(inbox, config.names, classes, upstreams, budget, metrics.clone(), drained);
     let address = listener.local_addr().map_err(at("the listener"))?;
--- a/src/bin/sandgap/peers.rs
+++ b/src/bin/sandgap/peers.rs
@@ -18,9 +18,14 @@
 }
 
 impl Peers {
-    /// Binds the socket.
-    pub async fn bind(addresses: PeerAddresses) -> io::Result<Rc<Self>> {
-        Ok(Rc::new(Peers { socket: UdpSocket::bind(addresses.listen).await?, addresses }))
+    /// Binds the socket; with `shared`, beside another process of this proxy. The one that came last hears.
+    pub fn bind(addresses: PeerAddresses, shared: bool) -> io::Result<Rc<Self>> {
+        let domain = socket2::Domain::for_address(addresses.listen);
+        let socket = socket2::Socket::new(domain, socket2::Type::DGRAM, None)?;
+        socket.set_reuse_address(shared)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&addresses.listen.into())?;
+        Ok(Rc::new(Peers { socket: UdpSocket::from_std(socket.into())?, addresses }))
     }
 
     /// Tells every other proxy. What the socket can't take at once is lost, as on the way.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -104,6 +104,7 @@
             Event::Ended { request, attempt, latency, outcome, closed, .. } => {
                 self.ended(now, request, attempt as usize, latency, outcome, closed, out);
             }
+            Event::Twin(twin) => self.overlay.twin = twin,
             Event::Maintenance { backend, banned } => self.maintain(now, backend, banned),
             Event::Abandoned(id) => self.finish(id),
             Event::Timer(0) => self.tick(now, out),
@@ -367,7 +368,7 @@
             1.0 // one slot on every server
         } else {
             // Each slot belongs to one proxy, of the server's zone if there is one: no two see it open.
-            f64::from(self.owned(k, (seen + draw(s.info.id.0, 0)).floor() as u32))
+            f64::from(self.owned(k, (seen + draw(s.info.id.0, 0)).floor() as u32)) * self.part()
         };
         self.kinds[s.kind].cores = cores.max(1.0);
         let s = &mut self.servers[k];
@@ -589,7 +590,7 @@
         for i in (0..self.running.len()).rev() {
             self.watch(now, self.running[i], out);
         }
-        if self.ticks % REVIEW == 0 {
+        if self.ticks.is_multiple_of(REVIEW) {
             self.review(now);
         }
         if self.cfg.discovery == Discovery::OnRequest && !self.subscribed && now >= self.ask_at {
@@ -662,14 +663,15 @@
             if k as u64 % 8 == self.ticks / REVIEW % 8 {
                 self.size(k); // slots change slowly: an eighth of the servers each time
             }
-            let warmth = self.warmth(k, now);
+            let (warmth, part) = (self.warmth(k, now), self.part());
             let s = &mut self.servers[k];
             if s.fresh && warmth < 1.0 {
                 // An equal part of what its like can do, cut to what it surely can: so it stands in any case.
                 let kind = &self.kinds[s.kind]; // by its calm latency: waits in a crowd are not work
                 let capacity = s.room / FULLNESS / kind.core.min(self.mean * kind.slow.0.max(0.2));
                 let rate = COLD_SHARE * self.cfg.limits.fall_multiple * warmth * capacity
-                    / f64::from(self.cfg.proxies);
+                    / f64::from(self.cfg.proxies)
+                    * part;
                 s.tokens = (s.tokens + rate * (now - s.tokens_at)).min((rate * 300.0).max(1.0));
                 s.tokens_at = now;
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,6 +5,9 @@
 /// A point in time or a span, in milliseconds.
 pub type Millis = f64;
 
+/// A mean and its weight.
+pub type Mean = (f64, f64);
+
 /// A request, as numbered by the caller; never used twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
@@ -291,6 +294,8 @@
         /// Whether nothing more may go there.
         banned: bool,
     },
+    /// Another process begins or ceases to share this proxy's part of everything, during an upgrade.
+    Twin(bool),
     /// The client has gone; no answer is owed any more.
     Abandoned(RequestId),
     /// A timer set with [`Action::Timer`] is due.
@@ -304,6 +309,19 @@
     },
 }
 
+/// What a successor takes over.
+#[derive(Clone, Debug, Default)]
+pub struct Learnt {
+    /// Servers: their mean latency relative to their classes' means.
+    pub servers: Vec<(BackendId, Mean)>,
+    /// Mean latency of each class.
+    pub classes: Vec<Mean>,
+    /// Kinds of machine, first what is of none: relative latency, its calm level, the part of its slots in use.
+    pub kinds: Vec<(Mean, Millis, f64)>,
+    /// Servers back from maintenance: since when they were in it, and when they came back.
+    pub back: Vec<(BackendId, Millis, Millis)>,
+}
+
 /// What a proxy is to do, in this order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -2,6 +2,8 @@
 mod sockets;
 
 use std::io::{Read, Write};
+use std::net::{TcpListener, UdpSocket};
+use std::sync::Arc;
 
 use sockets::*;
 
@@ -132,3 +134,85 @@
     });
     wait_for("two in use", || proxy.figure("/members_unavailable") == 0);
 }
+
+/// A platform that keeps a listening socket, with a folder of its own.
+fn platform(name: &str) -> (Arc<TcpListener>, std::path::PathBuf) {
+    let folder = std::env::temp_dir().join(format!("platform-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    (Arc::new(TcpListener::bind("127.0.0.1:0").expect("a port")), folder)
+}
+
+#[test]
+fn an_upgrade_keeps_clients_bans_and_the_drain() {
+    let (one, two) = (Backend::new(Deed::Write(ok("one"))), Backend::new(Deed::Write(ok("two"))));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&one, &two]));
+    let (own, other) = (UdpSocket::bind("127.0.0.1:0").unwrap(), UdpSocket::bind("127.0.0.1:0").unwrap());
+    let may_tell = Some((own.local_addr().unwrap(), other.local_addr().unwrap()));
+    drop(own);
+    let passed = platform("upgrade");
+    let folder = passed.1.clone();
+    let setup = Setup { passed: Some(passed), may_tell, ..operated() };
+    let mut old = Proxy::up(&discovery, &setup);
+    let mut client = Client::new(&old);
+    assert_eq!(status(client.ask(&page("r-0"))), 200);
+    assert_eq!(old.call("PUT /backends/s-0/maint").status(), 200);
+    let before = one.seen().len();
+    let mut new = Proxy::start(&discovery, &setup);
+    wait_for("the new process", || new.call("GET /healthcheck").status() == 200);
+    assert_eq!(old.call("GET /healthcheck").status(), 200, "both serve");
+    // What one is told holds at the other.
+    assert_eq!(new.call("PUT /healthcheck/fail").status(), 200);
+    wait_for("the drain at both", || (0..10).all(|_| !old.is_up()));
+    assert_eq!(new.call("PUT /healthcheck/ok").status(), 200);
+    wait_for("its end at both", || (0..10).all(|_| old.is_up()));
+    old.terminate();
+    assert_eq!(status(client.ask(&page("r-1"))), 200, "who is connected is answered");
+    assert!(old.wait().success());
+    for id in 2..20 {
+        let answer = Client::new(&new).ask(&page(&format!("r-{id}"))).expect("an answer");
+        assert_eq!(answer.text(), "two");
+    }
+    assert_eq!(one.seen().len(), before, "the ban outlives the process that was told");
+    assert_eq!(new.call("PUT /backends/s-0/ready").status(), 200);
+    let mut id = 20;
+    wait_for("its use", || {
+        id += 1;
+        Client::new(&new).ask(&page(&format!("r-{id}"))).expect("an answer").text() == "one"
+    });
+    assert!(new.runs());
+    std::fs::remove_dir_all(folder).expect("it is there");
+}
+
+#[test]
+fn a_ban_told_to_the_old_process_reaches_the_new_one() {
+    let (one, two) = (Backend::new(Deed::Write(ok("one"))), Backend::new(Deed::Write(ok("two"))));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&one, &two]));
+    let passed = platform("ban");
+    let folder = passed.1.clone();
+    let setup = Setup { passed: Some(passed), ..operated() };
+    let old = Proxy::up(&discovery, &setup);
+    let new = Proxy::start(&discovery, &setup);
+    wait_for("the new process", || new.call("GET /healthcheck").status() == 200);
+    assert_eq!(old.call("PUT /backends/s-1/maint").status(), 200);
+    wait_for("the ban at the new one", || new.figure("/members_unavailable") == 1);
+    assert_eq!(old.call("PUT /backends/s-1/ready").status(), 200);
+    wait_for("its end", || new.figure("/members_unavailable") == 0);
+    std::fs::remove_dir_all(folder).expect("it is there");
+}
+
+#[test]
+fn without_a_successor_who_comes_after_sigterm_is_still_served() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let passed = platform("alone");
+    let folder = passed.1.clone();
+    std::fs::write(folder.join("sandgap-n0.json"), "{\"version\":").expect("a file");
+    let mut proxy = Proxy::up(&discovery, &Setup { passed: Some(passed), ..operated() });
+    proxy.terminate();
+    assert_eq!(status(Client::new(&proxy).ask(&page("r-1"))), 200);
+    assert!(proxy.wait().success());
+    std::fs::remove_dir_all(folder).expect("it is there");
+}
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -277,6 +277,8 @@
     pub may_tell: Option<(SocketAddr, SocketAddr)>,
     /// Whether it has a second address.
     pub admin: bool,
+    /// The platform's listening socket, and the folder that the processes of a proxy share.
+    pub passed: Option<(Arc<TcpListener>, std::path::PathBuf)>,
     /// Descriptors that the system allows the process.
     pub descriptors: Option<u32>,
 }
@@ -291,6 +293,7 @@
             deadline: 5000,
             may_tell: None,
             admin: false,
+            passed: None,
             descriptors: None,
         }
     }
@@ -344,6 +347,12 @@
         let file = config_file(&config(discovery.address, setup));
         let program = env!("CARGO_BIN_EXE_sandgap");
         let mut command = match setup.descriptors {
+            // Descriptor 3 as the platform passes it: through the shell, the only way without system calls.
+            _ if setup.passed.is_some() => {
+                let mut shell = Command::new("sh");
+                shell.args(["-c", "exec 3<&0 </dev/null; exec \"$0\"", program]);
+                shell
+            }
             Some(limit) => {
                 let mut shell = Command::new("sh");
                 shell.args(["-c", &format!("ulimit -n {limit}; exec \"$0\""), program]);
@@ -351,6 +360,11 @@
             }
             None => Command::new(program),
         };
+        if let Some((listener, folder)) = &setup.passed {
+            let listener = listener.try_clone().expect("a handle");
+            command.env("TMPDIR", folder).env("NODE_PASSED_SOCKET", "3");
+            command.stdin(std::os::fd::OwnedFd::from(listener));
+        }
         let mut child =
             command.env("NODE_CONFIG", &file).stderr(Stdio::piped()).spawn().expect("the proxy starts");
         let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
