--- a/src/bin/sandgap/upstream.rs
+++ b/src/bin/sandgap/upstream.rs
@@ -26,6 +26,7 @@
 use wharfhitch::Outcome;
 
 use crate::metrics::Metrics;
+use crate::note;
 
 /// Bytes of a body, by the protocol.
 pub const BODY: usize = 64 << 10;
@@ -412,7 +413,10 @@
             }
             Ok(Err(_)) if meter.denied.get() && !meter.begun.get() => report(Outcome::Moot, None),
             Ok(Err(_)) | Err(_) if !meter.complete() => report(Outcome::ConnectFailed, None),
-            Ok(Err(_)) => report(Outcome::Reset, None),
+            Ok(Err(e)) => {
+                note!("an answer broke: {e}");
+                report(Outcome::Reset, None);
+            }
             Err(_) => report(Outcome::TimedOut, None), // the connection is dropped, never used again
         }
     }
