--- a/src/bin/sandgap/config.rs
+++ b/src/bin/sandgap/config.rs
@@ -34,6 +34,7 @@
 #[derive(Deserialize, Default)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<f64>,
 }
 
 /// Where proxies exchange datagrams.
@@ -54,6 +55,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory that the process may take, in bytes.
+    pub memory: usize,
     pub peers: Option<PeerAddresses>,
     /// The list of backends as last seen, in discovery's form; perhaps old, perhaps nothing.
     pub known: Value,
@@ -96,6 +99,7 @@
         discovery: file.discovery,
         seed: seed(&file.seed).ok_or("'seed' is neither text nor a whole number")?,
         sockets,
+        memory: (file.limits.memory_mb.unwrap_or(64.0).clamp(16.0, 65_536.0) * 1e6) as usize,
         peers,
         known: file.known,
         connections: settings::connections(&file.settings),
--- a/src/bin/sandgap/driver.rs
+++ b/src/bin/sandgap/driver.rs
@@ -15,7 +15,7 @@
 use wharfhitch::settings::{Names, index_of, number_of};
 use wharfhitch::{
     Action, Backend, BackendId, Balancer, CellId, ClassId, Event, Key, KindId, Learnt, Millis, Outcome,
-    RequestId, Scope, State, TenantId, ZoneId,
+    RequestId, Scope, State, TenantId, Upload, ZoneId,
 };
 
 use crate::admin::{Command, Order};
@@ -46,6 +46,8 @@
     Request(Box<Arrival>),
     /// Its client has left.
     Gone(RequestId),
+    /// The last byte of a body that is sent on while it comes has been taken.
+    Uploaded(RequestId),
     /// An attempt has ended.
     Ended { request: RequestId, attempt: u32, latency: Millis, outcome: Outcome, reply: Option<Reply> },
     /// News of the list.
@@ -63,6 +65,8 @@
     pub hint: Option<Millis>,
     /// When the client gives up.
     pub deadline: Instant,
+    /// How long it waits, where its time begins only with the last byte of its body.
+    pub upload: Option<Duration>,
     pub message: Outgoing,
     pub answer: oneshot::Sender<Answer>,
     pub open: OpenId,
@@ -126,6 +130,10 @@
     wanted: Rc<Cell<bool>>,
     message: Rc<Outgoing>,
     deadline: Instant,
+    /// How long its client waits after the last byte, where that is still to come.
+    upload: Option<Duration>,
+    /// When the last attempt had gone out whole, as far as is known.
+    sent: Rc<Cell<Instant>>,
     attempts: u32,
     out: u32,
     /// Its id is taken for as long.
@@ -384,6 +392,7 @@
                     self.handle(Event::Abandoned(id));
                 }
             }
+            Input::Uploaded(id) => self.uploaded(id),
             Input::Ended { request, attempt, latency, outcome, reply } => {
                 self.ended(request, attempt, latency, outcome, reply);
             }
@@ -396,9 +405,10 @@
     }
 
     fn request(&mut self, arrival: Arrival) {
-        let Arrival { id, class, tenant, key, hint, deadline, message, answer, open } = arrival;
+        let Arrival { id, class, tenant, key, hint, deadline, upload, message, answer, open } = arrival;
         let last = deadline - LAST_RESORT;
-        let budget = last.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0;
+        let now = Instant::now();
+        let budget = upload.unwrap_or(last.saturating_duration_since(now)).as_secs_f64() * 1000.0;
         self.live.insert(
             id,
             Live {
@@ -406,6 +416,8 @@
                 wanted: Rc::new(Cell::new(true)),
                 message: Rc::new(message),
                 deadline,
+                upload,
+                sent: Rc::new(Cell::new(now)),
                 attempts: 0,
                 out: 0,
                 _open: open,
@@ -414,6 +426,20 @@
         self.tally.requests += 1;
         self.due.push(Reverse((last, Due::LastResort(id))));
         self.handle(Event::Request { id, class, tenant, key, budget, hint });
+        if upload.is_some() {
+            self.handle(Event::Upload { request: id, stage: Upload::Begun });
+        }
+    }
+
+    /// The time of a request whose body was sent on while it came begins now.
+    fn uploaded(&mut self, id: RequestId) {
+        let now = Instant::now();
+        let Some(live) = self.live.get_mut(&id) else { return };
+        let Some(patience) = live.upload.take() else { return };
+        live.sent.set(now);
+        live.deadline = now + patience;
+        self.due.push(Reverse((live.deadline - LAST_RESORT, Due::LastResort(id))));
+        self.handle(Event::Upload { request: id, stage: Upload::Whole });
     }
 
     /// Answers a request that nobody else has answered in time. It may have run, so it has failed.
@@ -429,6 +455,7 @@
     ) {
         let Some(live) = self.live.get_mut(&request) else { return };
         live.out -= 1;
+        let spent = live.message.is_spent();
         self.tally.outcomes[outcome as usize] += 1;
         let was_open = live.answer.is_some();
         if let (Outcome::Served, Some(reply)) = (outcome, reply)
@@ -438,6 +465,9 @@
         }
         let closed = !was_open || outcome == Outcome::Served;
         self.forget(request);
+        if spent {
+            self.handle(Event::Upload { request, stage: Upload::Spent });
+        }
         self.handle(Event::Ended { request, attempt, latency, outcome, closed });
     }
 
@@ -582,12 +612,14 @@
         let Some(live) = self.live.get_mut(&request) else {
             return note!("a send for a request that is not held");
         };
+        let now = Instant::now();
+        live.sent = Rc::new(Cell::new(now));
         let mut report = Report {
             inbox: self.parts.inbox.clone(),
             request,
             attempt: live.attempts,
             backend,
-            sent: Instant::now(),
+            sent: live.sent.clone(),
             told: false,
         };
         live.attempts += 1;
@@ -597,7 +629,7 @@
             return report.tell(Outcome::Moot, None);
         };
         let until = timeout.map_or(live.deadline, |t| {
-            live.deadline.min(report.sent + Duration::from_secs_f64(t.clamp(0.0, 1e9) / 1000.0))
+            live.deadline.min(now + Duration::from_secs_f64(t.clamp(0.0, 1e9) / 1000.0))
         });
         let (upstreams, endpoint) = (self.parts.upstreams.clone(), endpoint.clone());
         let (wanted, message) = (live.wanted.clone(), live.message.clone());
@@ -644,14 +676,15 @@
     request: RequestId,
     attempt: u32,
     backend: BackendId,
-    sent: Instant,
+    sent: Rc<Cell<Instant>>,
     told: bool,
 }
 
 impl Report {
     fn tell(&mut self, outcome: Outcome, reply: Option<Reply>) {
         self.told = true;
-        let latency = self.sent.elapsed().as_secs_f64() * 1000.0;
+        let at = reply.as_ref().map_or_else(Instant::now, |reply| reply.begun);
+        let latency = at.saturating_duration_since(self.sent.get()).as_secs_f64() * 1000.0;
         let (request, attempt) = (self.request, self.attempt);
         if outcome != Outcome::Served {
             note!("an attempt at {:016x}: {outcome:?} after {latency:.0} ms", self.backend.0);
--- /dev/null
+++ b/src/bin/sandgap/flow.rs
@@ -0,0 +1,252 @@
+//! Bodies too big to be held: they flow piece by piece, and what is in hand of all of them together is bounded.
+
+use std::fmt;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::time::{Instant, timeout};
+
+/// Bytes of the longest body in either direction.
+pub const MOST: u64 = 36 << 20;
+/// The slowest sender that is waited for, in bytes a second; half of what clients keep up.
+const PACE: f64 = 32.0 * 1024.0;
+/// By how much it may lag behind that.
+const LAG: Duration = Duration::from_millis(400);
+/// Longest silence of a client within a body.
+const GAP: Duration = Duration::from_secs(1);
+
+/// Memory for the pieces of all bodies.
+#[derive(Clone)]
+pub struct Pool(Arc<Semaphore>);
+
+/// Memory for all bodies that are not small. Slow clients must not take that of what flows.
+pub struct Memory {
+    /// For what is in hand of those on their way.
+    pub pieces: Pool,
+    /// For what is read ahead.
+    pub ahead: Pool,
+}
+
+/// What a piece takes of the pool, for as long as it is in hand.
+pub type Held = OwnedSemaphorePermit;
+
+impl Pool {
+    pub fn new(bytes: usize) -> Self {
+        Pool(Arc::new(Semaphore::new((bytes >> 10).max(64))))
+    }
+
+    fn part(bytes: usize) -> u32 {
+        bytes.div_ceil(1 << 10) as u32 // of a piece, which is far below what a number can hold
+    }
+
+    /// Waits until there is room for a piece.
+    pub async fn hold(&self, bytes: usize) -> Option<Held> {
+        self.0.clone().acquire_many_owned(Self::part(bytes)).await.ok()
+    }
+
+    /// Takes room if there is some now.
+    pub fn try_hold(&self, bytes: usize) -> Option<Held> {
+        self.0.clone().try_acquire_many_owned(Self::part(bytes)).ok()
+    }
+}
+
+/// A part of a body. One that ends without `End` is not whole.
+pub enum Part {
+    Data(Bytes, Option<Held>),
+    End,
+}
+
+/// The sending end of a flow.
+pub type Source = mpsc::Sender<Part>;
+
+/// Told once how the flow ended: whole or broken. Dropped untold if nobody wants the rest.
+pub type AtEnd = Box<dyn FnOnce(bool)>;
+
+/// A body on its way.
+pub struct Flow {
+    parts: mpsc::Receiver<Part>,
+    /// Bytes to come, where that is known.
+    left: Option<u64>,
+    at_end: Option<AtEnd>,
+}
+
+impl Flow {
+    pub fn new(length: Option<u64>) -> (Source, Self) {
+        let (source, parts) = mpsc::channel(1);
+        (source, Flow { parts, left: length, at_end: None })
+    }
+
+    pub fn at_end(&mut self, at_end: AtEnd) {
+        self.at_end = Some(at_end);
+    }
+
+    fn end(&mut self, whole: bool) {
+        if let Some(at_end) = self.at_end.take() {
+            at_end(whole);
+        }
+    }
+}
+
+/// The sender of a body has not finished it.
+#[derive(Debug)]
+pub struct Broken;
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("the body is not whole")
+    }
+}
+
+impl std::error::Error for Broken {}
+
+impl Body for Flow {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        if self.left == Some(0) {
+            return Poll::Ready(None);
+        }
+        match ready!(self.parts.poll_recv(cx)) {
+            Some(Part::Data(data, _held)) => {
+                if let Some(left) = &mut self.left {
+                    *left = left.saturating_sub(data.len() as u64);
+                    if *left == 0 {
+                        self.end(true); // it is not asked for more
+                    }
+                }
+                Poll::Ready(Some(Ok(Frame::data(data))))
+            }
+            Some(Part::End) if self.left.is_none() => {
+                self.end(true);
+                Poll::Ready(None)
+            }
+            Some(Part::End) | None => {
+                self.end(false);
+                Poll::Ready(Some(Err(Broken)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.left == Some(0)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.left.map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
+
+/// Why a sender's body does not go on.
+#[derive(Debug, PartialEq)]
+pub enum Fault {
+    Slow,
+    Malformed,
+}
+
+/// Follows how fast a client sends its body. The time for which it is not read does not count.
+pub struct Pace {
+    waited: Duration,
+    got: usize,
+}
+
+impl Pace {
+    pub fn new() -> Self {
+        Pace { waited: Duration::ZERO, got: 0 }
+    }
+
+    /// Bytes that have come.
+    pub fn got(&self) -> usize {
+        self.got
+    }
+
+    /// The next piece, or `None` at the end.
+    pub async fn next(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, Fault> {
+        loop {
+            let due = LAG + Duration::from_secs_f64(self.got as f64 / PACE);
+            let begun = Instant::now();
+            let frame = timeout(due.saturating_sub(self.waited).min(GAP), body.frame()).await;
+            self.waited += begun.elapsed();
+            match frame {
+                Err(_) => return Err(Fault::Slow),
+                Ok(None) => return Ok(None),
+                Ok(Some(Err(_))) => return Err(Fault::Malformed),
+                // What follows a chunked body as trailers goes no further.
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.got += data.len();
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Sends on what is still to come of a client's body, after what has been read of it. Returns when the end has been
+/// handed on, when nobody takes more, or with what is wrong with the client.
+pub async fn send_on(
+    mut body: Incoming, ahead: (Bytes, Option<Held>), mut pace: Pace, source: Source, pool: Pool,
+) -> Result<(), Fault> {
+    if source.send(Part::Data(ahead.0, ahead.1)).await.is_err() {
+        return Ok(());
+    }
+    while let Some(data) = pace.next(&mut body).await? {
+        if pace.got() as u64 > MOST {
+            return Err(Fault::Malformed);
+        }
+        let held = pool.hold(data.len()).await;
+        if source.send(Part::Data(data, held)).await.is_err() {
+            return Ok(());
+        }
+    }
+    let _ = source.send(Part::End).await; // who knows the length has left by now
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::Cell;
+    use std::rc::Rc;
+
+    async fn collected(length: Option<u64>, parts: Vec<Part>) -> (Result<usize, ()>, Option<bool>) {
+        let (source, mut flow) = Flow::new(length);
+        let told = Rc::new(Cell::new(None));
+        let told_at_end = told.clone();
+        flow.at_end(Box::new(move |whole| told_at_end.set(Some(whole))));
+        let send = async move {
+            for part in parts {
+                let _ = source.send(part).await;
+            }
+        };
+        let (_, body) = tokio::join!(send, flow.collect());
+        (body.map(|b| b.to_bytes().len()).map_err(|_| ()), told.get())
+    }
+
+    #[test]
+    fn a_flow_is_whole_only_with_its_end_or_its_length() {
+        let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+        let data = || Part::Data(Bytes::from_static(b"1234"), None);
+        let run = |length, parts| runtime.block_on(collected(length, parts));
+        assert_eq!(run(None, vec![data(), data(), Part::End]), (Ok(8), Some(true)));
+        assert_eq!(run(None, vec![data(), data()]), (Err(()), Some(false)));
+        assert_eq!(run(Some(8), vec![data(), data()]), (Ok(8), Some(true)));
+        assert_eq!(run(Some(9), vec![data(), data(), Part::End]), (Err(()), Some(false)));
+    }
+
+    #[test]
+    fn what_is_in_hand_of_all_bodies_is_bounded() {
+        let pool = Pool::new(128 << 10);
+        let first = pool.try_hold(100 << 10);
+        assert!(first.is_some() && pool.try_hold(100 << 10).is_none());
+        drop(first);
+        assert!(pool.try_hold(100 << 10).is_some());
+    }
+}
--- a/src/bin/sandgap/frontend.rs
+++ b/src/bin/sandgap/frontend.rs
@@ -12,8 +12,8 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{Either, Full};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
@@ -29,23 +29,37 @@
 use wharfhitch::{Class, ClassId, Effect, Key, RequestId, TenantId};
 
 use crate::driver::{Answer, Arrival, Inbox, Input};
+use crate::flow::{self, Fault, Flow, Pace};
 use crate::handover::Handover;
 use crate::metrics::{End, Metrics, Taken};
 use crate::note;
-use crate::upstream::{BODY, Outgoing, Upstreams, end_sending, poll_read, poll_write, strip};
+use crate::upstream::{
+    Load, Outgoing, Upload, Upstreams, Written, end_sending, poll_read, poll_write, strip,
+};
 
 /// Longest head. Large enough for any client of the protocol, small enough for all connections at once.
 const HEAD_SIZE: usize = 16 << 10;
 const BACKLOG: u32 = 1024;
-/// A request must be whole this long after its first byte; the first one this long after its connection came
-/// up, for a client that sends nothing of use is owed an end within 3 s.
-const WHOLE: Duration = Duration::from_millis(2200);
+/// A request's head must be whole this long after its first byte; the first one this long after its connection
+/// came up, for a client that sends nothing of use is owed an end within 3 s. A body has a pace to keep.
+const WHOLE: Duration = Duration::from_millis(2400);
+/// Bytes of a body that are read before the request is handed on, if there is memory: until then a slow client
+/// holds no backend, and what is whole by then can be sent again.
+const AHEAD: usize = 512 << 10;
+/// Bytes of a body for which every connection has memory.
+const SMALL: usize = 64 << 10;
+/// Longest span for which a body may come.
+const UPLOAD: Duration = Duration::from_secs(600);
+/// A client that takes nothing of its answer for this span is cut.
+const UNREAD: Duration = Duration::from_secs(10);
 /// A connection between requests may be closed after 2 s, no sooner, and is when descriptors run short.
 const IDLE_LEAST: Duration = Duration::from_millis(2050);
 /// It is closed in any case after this span: some clients ask once and keep their connection for good.
 const IDLE_MOST: Duration = Duration::from_secs(15);
 /// A new connection's first byte is waited for this long even when descriptors run short.
 const GRACE: Duration = Duration::from_millis(50);
+/// A body that came within this span of its head came with it.
+const AT_ONCE: Duration = Duration::from_millis(3);
 /// Where nobody can give way, those who come wait in the accept queue for this long, then they are turned away.
 const QUEUE: Duration = Duration::from_millis(100);
 /// Span between looks for connections whose time is up.
@@ -105,6 +119,12 @@
     queued: Cell<Option<Instant>>,
     /// It has ended its sending.
     ended: Cell<bool>,
+    /// The head that comes, as far as it is known, and whether that is from its first byte on.
+    head: RefCell<Vec<u8>>,
+    /// When it last took something of its answer.
+    took: Cell<Instant>,
+    /// Its answer is on its way.
+    flows: Cell<bool>,
     close: Notify,
 }
 
@@ -292,6 +312,9 @@
                     accepted: now,
                     queued: Cell::new(Some(self.empty.get())),
                     ended: Cell::new(false),
+                    head: RefCell::default(),
+                    took: Cell::new(now),
+                    flows: Cell::new(false),
                     close: Notify::new(),
                 });
                 self.open.set(self.open.get() + 1);
@@ -371,9 +394,11 @@
         let service = service_fn(|request| {
             let (front, client) = (self.clone(), client.clone());
             async move {
-                if client.stage.get() == Stage::Idle {
-                    client.due.set(Instant::now() + WHOLE); // its head came along with the request before
-                }
+                // A head that came along with the request before has not been seen apart.
+                let head = match client.stage.get() {
+                    Stage::Idle => None,
+                    _ => Some(client.head.take()),
+                };
                 // A request that came while its connection was waiting to be accepted is as old as that.
                 let queued = client.queued.take().filter(|_| client.accepted.elapsed() < GRACE);
                 let came = queued.unwrap_or_else(Instant::now);
@@ -385,12 +410,12 @@
                     }
                     plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
                 } else {
-                    front.respond(request, came, client.due.get()).await
+                    front.respond(request, came, head, &client).await
                 };
                 // Where one request was wrong, nobody knows where the next one would begin.
                 if over || front.draining() || response.status().is_client_error() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-                } else {
+                } else if !client.flows.get() {
                     front.turn(&client, Stage::Idle);
                 }
                 Ok::<_, Infallible>(response)
@@ -416,6 +441,13 @@
                     connection.as_mut().graceful_shutdown();
                     cut = cut.or(Some(Instant::now() + CUT));
                 }
+                // Nor may an answer on its way, of which nobody takes anything.
+                () = sleep_until(client.took.get() + UNREAD), if client.flows.get() => {
+                    if client.flows.get() && client.took.get().elapsed() >= UNREAD {
+                        note!("a client takes nothing of its answer");
+                        return;
+                    }
+                }
                 // An answer that nobody reads would hold its socket for ever.
                 () = sleep_until(wait), if cut.is_some() => {
                     if client.stage.get() != Stage::Busy {
@@ -435,10 +467,10 @@
         }
     }
 
-    /// Answers a request that came at `came` and has to be whole when it is `due`.
+    /// Answers a request that came at `came`; `raw` is its head as it came, if it could be told apart.
     async fn respond(
-        &self, request: Request<Incoming>, came: Instant, due: Instant,
-    ) -> Response<Full<Bytes>> {
+        self: &Rc<Self>, request: Request<Incoming>, came: Instant, raw: Option<Vec<u8>>, client: &Rc<Client>,
+    ) -> Response<Written> {
         if request.uri().path() == "/up" {
             let up = self.metrics.ready.load(Relaxed) && !self.draining();
             return plain(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
@@ -449,29 +481,39 @@
             Err((status, text)) => return plain(status, text),
         };
         // Its length lies or hides a second request where both are told: hyper shows only one of them.
-        if head.headers.contains_key(header::TRANSFER_ENCODING) {
-            return plain(StatusCode::LENGTH_REQUIRED, "the length must be told");
+        if head.headers.contains_key(header::TRANSFER_ENCODING) && raw.is_none_or(|raw| tells_length(&raw)) {
+            return plain(StatusCode::LENGTH_REQUIRED, "the length must be told, and once");
         }
-        if body.size_hint().lower() > BODY as u64 {
+        if body.size_hint().lower() > flow::MOST {
             return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
         }
         let Some(open) = OpenId::take(&self.ids, &asked.id) else {
             return plain(StatusCode::CONFLICT, "a request with this id is open");
         };
-        let deadline = came + asked.patience;
-        let body = match timeout_at(deadline.min(due), Limited::new(body, BODY).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-                return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+        let id = RequestId(self.number());
+        let begun = Instant::now();
+        let (load, rest) = match self.read_ahead(body).await {
+            Ok(Ahead::Whole(body, held)) => (Load::Whole { body, _held: held }, None),
+            Ok(Ahead::Begun { read, held, body, pace }) => {
+                let length = body.size_hint().exact().map(|rest| read.len() as u64 + rest);
+                let (source, flow) = Flow::new(length);
+                let rest =
+                    flow::send_on(body, (read, held), pace, source, self.upstreams.memory.pieces.clone());
+                let (inbox, whole_id) = (self.inbox.clone(), id);
+                let whole = Rc::new(move || inbox.put(Input::Uploaded(whole_id)));
+                let flow = RefCell::new(Some(flow));
+                (Load::Flow(Upload { flow, patience: asked.patience, whole }), Some(rest))
             }
-            Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "the body is malformed"),
-            Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body came too late"),
+            Err(fault) => return spoilt(fault),
         };
+        // A request's time begins with its last byte; one that came whole is as old as its head.
+        let came = if begun.elapsed() < AT_ONCE { came } else { Instant::now() };
+        let upload = rest.is_some().then_some(asked.patience);
+        let deadline = came + upload.map_or(asked.patience, |_| UPLOAD);
         let mut headers = head.headers;
         strip(&mut headers);
-        let id = RequestId(self.number());
         let (answer, answered) = oneshot::channel();
-        let message = Outgoing { method: head.method, uri: target(&head.uri), headers, body };
+        let message = Outgoing { method: head.method, uri: target(&head.uri), headers, body: load };
         let taken = self.taken(&asked);
         let Asked { class, tenant, key, hint, .. } = asked;
         self.inbox.put(Input::Request(Box::new(Arrival {
@@ -481,18 +523,38 @@
             key,
             hint,
             deadline,
+            upload,
             message,
             answer,
             open,
         })));
         // Hyper drops this future when the client leaves.
         let mut leaves = Leaves { inbox: &self.inbox, id, waits: true };
-        let answer = answered.await;
+        let answer = match rest {
+            None => answered.await,
+            Some(rest) => {
+                tokio::pin!(rest, answered);
+                tokio::select! {
+                    biased;
+                    answer = answered.as_mut() => answer,
+                    sent = rest => match sent {
+                        Ok(()) => answered.await,
+                        Err(fault) => return spoilt(fault),
+                    },
+                }
+            }
+        };
         leaves.waits = false;
         match answer {
             Ok(Answer::Served(reply)) => {
-                taken.end(End::Completed);
-                let mut response = Response::new(Full::new(reply.body));
+                let body = match reply.body {
+                    Either::Left(body) => {
+                        taken.end(End::Completed);
+                        Either::Left(body)
+                    }
+                    Either::Right(flow) => Either::Right(self.clone().lead(flow, taken, client)),
+                };
+                let mut response = Response::new(body);
                 *response.headers_mut() = reply.headers;
                 response
             }
@@ -511,6 +573,36 @@
         }
     }
 
+    /// Reads a body as far as it is held back before its request is handed on.
+    async fn read_ahead(&self, mut body: Incoming) -> Result<Ahead, Fault> {
+        let (mut read, mut held, mut pace) = (BytesMut::new(), None, Pace::new());
+        while let Some(data) = pace.next(&mut body).await? {
+            read.extend_from_slice(&data);
+            if pace.got() > SMALL && held.is_none() {
+                held = self.upstreams.memory.ahead.try_hold(AHEAD);
+            }
+            if pace.got() > if held.is_some() { AHEAD } else { SMALL } {
+                return Ok(Ahead::Begun { read: read.freeze(), held, body, pace });
+            }
+        }
+        Ok(Ahead::Whole(read.freeze(), held))
+    }
+
+    /// Leads an answer that is on its way to its client; the request ends with it.
+    fn lead(self: Rc<Self>, mut flow: Flow, taken: Taken, client: &Rc<Client>) -> Flow {
+        client.flows.set(true);
+        client.took.set(Instant::now());
+        let client = client.clone();
+        flow.at_end(Box::new(move |whole| {
+            taken.end(if whole { End::Completed } else { End::Failed });
+            client.flows.set(false);
+            if whole {
+                self.turn(&client, Stage::Idle);
+            }
+        }));
+        flow
+    }
+
     /// Notes that a request has been taken.
     fn taken(&self, asked: &Asked) -> Taken {
         self.metrics.take(&self.names.classes[asked.class.0])
@@ -556,6 +648,12 @@
     }
 }
 
+/// What has been read of a body when its request is handed on.
+enum Ahead {
+    Whole(Bytes, Option<flow::Held>),
+    Begun { read: Bytes, held: Option<flow::Held>, body: Incoming, pace: Pace },
+}
+
 /// What a request's head says.
 struct Asked {
     id: String,
@@ -581,19 +679,30 @@
             self.client.ended.set(true);
         }
         let stage = self.client.stage.get();
+        let bytes = &buf.filled()[before..];
         if matches!(stage, Stage::Silent | Stage::Idle) {
+            self.client.head.borrow_mut().clear();
             if stage == Stage::Idle {
                 self.client.due.set(Instant::now() + WHOLE);
             }
             self.front.turn(&self.client, Stage::Begun);
         }
+        if self.client.stage.get() == Stage::Begun {
+            let mut head = self.client.head.borrow_mut();
+            let room = (HEAD_SIZE + 1).saturating_sub(head.len()); // hyper takes no longer one
+            head.extend_from_slice(&bytes[..bytes.len().min(room)]);
+        }
         Poll::Ready(Ok(()))
     }
 }
 
 impl AsyncWrite for Heard {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        poll_write(&self.stream, cx, bytes)
+        let n = std::task::ready!(poll_write(&self.stream, cx, bytes))?;
+        if self.client.flows.get() {
+            self.client.took.set(Instant::now());
+        }
+        Poll::Ready(Ok(n))
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
@@ -652,8 +761,26 @@
     uri.path_and_query().map_or_else(Uri::default, |p| Uri::from(p.clone()))
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+/// Whether a head as it came tells a length.
+fn tells_length(raw: &[u8]) -> bool {
+    let name = b"content-length";
+    let lines =
+        raw.trim_ascii_start().split(|b| *b == b'\n').map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    lines
+        .take_while(|line| !line.is_empty())
+        .any(|line| line.get(..name.len()).is_some_and(|start| start.eq_ignore_ascii_case(name)))
+}
+
+/// The answer to a client that does not finish its body.
+fn spoilt(fault: Fault) -> Response<Written> {
+    match fault {
+        Fault::Slow => plain(StatusCode::REQUEST_TIMEOUT, "the body came too slowly"),
+        Fault::Malformed => plain(StatusCode::BAD_REQUEST, "the body is malformed"),
+    }
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response<Written> {
+    let mut response = Response::new(Either::Left(Full::new(Bytes::from_static(text.as_bytes()))));
     *response.status_mut() = status;
     response
 }
--- a/src/bin/sandgap/main.rs
+++ b/src/bin/sandgap/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod discovery;
 mod driver;
+mod flow;
 mod frontend;
 mod handover;
 mod log;
@@ -30,6 +31,8 @@
 use handover::Handover;
 use metrics::Metrics;
 
+/// The part of the memory, one in so many, for pieces of bodies on their way, and again for what is read ahead.
+const POOL: usize = 12;
 /// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch.
 const RESERVE: usize = 32;
 
@@ -91,7 +94,11 @@
     let budget = frontend::Budget { whole: config.sockets - RESERVE, shared, handover: handover.clone() };
     // The module sends to a backend only while it has a free slot there, but clients come as they like: most
     // of the budget is theirs.
-    let upstreams = Rc::new(upstream::Upstreams::new(&config.connections, budget.whole / 4, metrics.clone()));
+    // Two processes share the memory during an upgrade.
+    let pool = || flow::Pool::new(config.memory / POOL);
+    let memory = flow::Memory { pieces: pool(), ahead: pool() };
+    let upstreams =
+        Rc::new(upstream::Upstreams::new(&config.connections, budget.whole / 4, metrics.clone(), memory));
     let drained = Rc::new(Cell::new(false));
     let asked = Rc::new(Notify::new());
     let parts = Parts {
--- a/src/bin/sandgap/upstream.rs
+++ b/src/bin/sandgap/upstream.rs
@@ -11,9 +11,9 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Body as _;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Either, Full};
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode, Uri};
@@ -25,32 +25,62 @@
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use wharfhitch::Outcome;
 
+use crate::flow::{Flow, Held, MOST, Memory, Part, Source};
 use crate::metrics::Metrics;
 use crate::note;
 
-/// Bytes of a body, by the protocol.
-pub const BODY: usize = 64 << 10;
+/// Bytes up to which an answer is passed on only once it is whole, and may be made good elsewhere until then.
+const BODY: usize = 64 << 10;
 /// A pooled connection is retired after this part of the span after which a backend closes it.
 const IDLE_PART: f64 = 0.7;
 /// Longest wait until a connection is ready for its next request.
 const READY: Duration = Duration::from_secs(1);
 
-/// Once an answer has begun, its head and its body must each come to their end within this span. An answer that
-/// is told longer than it is would else keep its request until the client gives up.
+/// Once an answer has begun, nothing of it may be missing for this span. An answer that is told longer than it is
+/// would else keep its request until the client gives up.
 const STALL: Duration = Duration::from_millis(250);
+/// An answer of unknown length is held back for this long to see whether it is short.
+const HOLD: Duration = Duration::from_millis(100);
+/// Longest silence of a backend within an answer of which the client has a part: it can't be made good any more.
+const SILENCE: Duration = Duration::from_secs(2);
 
 /// A client's request in the form in which it goes on.
 pub struct Outgoing {
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: Load,
 }
 
-/// A backend's whole answer.
+/// A request's body.
+pub enum Load {
+    /// With what it takes of the memory, if it is not small.
+    Whole {
+        body: Bytes,
+        _held: Option<Held>,
+    },
+    Flow(Upload),
+}
+
+/// A body that still comes while it is sent on.
+pub struct Upload {
+    /// Taken by the attempt that sends it.
+    pub flow: RefCell<Option<Flow>>,
+    /// How long the client waits from its last byte on.
+    pub patience: Duration,
+    /// Told when the last byte has been taken.
+    pub whole: Rc<dyn Fn()>,
+}
+
+/// A body as it is written.
+pub type Written = Either<Full<Bytes>, Flow>;
+
+/// A backend's answer, whole or with its body on its way.
 pub struct Reply {
+    /// When its first bytes came. A backend's speed is told by them, not by how long it writes.
+    pub begun: Instant,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: Written,
 }
 
 /// One process of a backend at one address. A restart or a new address makes a new one.
@@ -103,7 +133,7 @@
 
 /// A connection to a backend; dropping it closes the socket.
 struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Written>,
     meter: Rc<Meter>,
     stream: Rc<TcpStream>,
     driver: JoinHandle<()>,
@@ -137,12 +167,19 @@
     denied: Cell<bool>,
     /// How much of the blank line that ends the head has been seen.
     blank: Cell<usize>,
-    /// Bytes of the body still to be written.
+    /// Bytes of the body still to be written; of one of unknown length, more than ever come.
     left: Cell<usize>,
     /// Where requests that have been written whole are counted.
     metrics: Option<Arc<Metrics>>,
+    /// When an answer to a request that came while it was sent on is given up; known with its last byte.
+    until: Cell<Option<Instant>>,
+    whole: Notify,
+    /// The client has not finished its body.
+    spoilt: Cell<bool>,
     /// Since when a part of an answer has been there without its end.
     partial: Cell<Option<Instant>>,
+    /// When the head began that came last.
+    begins: Cell<Option<Instant>>,
     read: Notify,
 }
 
@@ -154,6 +191,9 @@
 }
 
 const BLANK: &[u8] = b"\r\n\r\n";
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+/// Stands for a length that is not known: more than can come.
+const UNKNOWN: usize = usize::MAX;
 
 impl Meter {
     fn start(&self, gate: Gate, body: usize) {
@@ -163,17 +203,32 @@
         self.blank.set(0);
         self.left.set(body);
         self.partial.set(None);
+        self.until.set(None);
+        self.spoilt.set(false);
+    }
+
+    /// Notes that the last byte of a body that was sent on while it came has been taken; its answer is given up at
+    /// `until`. What ends a body of unknown length is five bytes more at least: they count as its last, rather too
+    /// early than too late.
+    fn taken(&self, until: Instant) {
+        if self.left.get() > UNKNOWN / 2 {
+            self.left.set(LAST_CHUNK.len());
+        }
+        self.until.set(Some(until));
+        self.whole.notify_one();
     }
 
     /// Notes what has been read of an answer. What stops at a blank line may be an interim answer's whole head,
     /// after which the real one takes its time.
     fn got(&self, bytes: &[u8]) {
-        let since = self.partial.get().unwrap_or_else(Instant::now);
-        self.partial.set((!bytes.ends_with(BLANK)).then_some(since));
+        let now = Instant::now();
+        if self.partial.replace((!bytes.ends_with(BLANK)).then_some(now)).is_none() {
+            self.begins.set(Some(now));
+        }
         self.read.notify_one();
     }
 
-    /// Waits until an answer has begun and not come to its end for too long.
+    /// Waits until an answer has begun and its next byte has not come for too long.
     async fn stalled(&self) {
         loop {
             match self.partial.get() {
@@ -286,6 +341,7 @@
 
 /// What all attempts share: time-outs and the budget of sockets.
 pub struct Upstreams {
+    pub memory: Memory,
     metrics: Arc<Metrics>,
     dial_timeout: Duration,
     idle_limit: Duration,
@@ -300,9 +356,11 @@
 impl Upstreams {
     pub fn new(
         connections: &wharfhitch::settings::Connections, sockets: usize, metrics: Arc<Metrics>,
+        memory: Memory,
     ) -> Self {
         let span = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3.6e6) / 1000.0);
         Upstreams {
+            memory,
             metrics,
             dial_timeout: span(connections.dial_timeout),
             idle_limit: span(connections.idle_close * IDLE_PART),
@@ -379,6 +437,39 @@
         Ok(Connection { sender, meter, stream, driver })
     }
 
+    /// Passes an answer on, as fast as its client reads; whether the backend has finished it.
+    async fn pass_on(&self, begun: Bytes, mut rest: Incoming, source: Source) -> bool {
+        let mut next = begun;
+        let mut passed = 0;
+        loop {
+            passed += next.len() as u64;
+            if passed > MOST {
+                note!("an answer broke: it is too long");
+                return false;
+            }
+            // Where nobody wants the rest, the connection is of no more use.
+            let held = self.memory.pieces.hold(next.len()).await;
+            if !next.is_empty() && source.send(Part::Data(next, held)).await.is_err() {
+                return false;
+            }
+            next = match timeout(SILENCE, rest.frame()).await {
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Ok(None) => {
+                    let _ = source.send(Part::End).await; // who knows the length has left by now
+                    return true;
+                }
+                Ok(Some(Err(e))) => {
+                    note!("an answer broke: {e}");
+                    return false;
+                }
+                Err(_) => {
+                    note!("an answer broke: its backend is silent");
+                    return false;
+                }
+            };
+        }
+    }
+
     /// Makes one attempt and tells how it ended; `report` gets that before the connection is pooled.
     pub async fn attempt(
         &self, endpoint: Rc<Endpoint>, wanted: Rc<Cell<bool>>, message: Rc<Outgoing>, until: Instant,
@@ -392,26 +483,51 @@
         if !endpoint.is_open() || !wanted.get() {
             return report(Outcome::Moot, None);
         }
-        let Some(request) = message.request(until) else { return report(Outcome::Moot, None) };
         let meter = connection.meter.clone();
-        meter.start(Gate { endpoint: endpoint.clone(), wanted }, message.body.len());
+        let Some((request, length)) = message.request(until, &meter) else {
+            return report(Outcome::Moot, None);
+        };
+        meter.start(Gate { endpoint: endpoint.clone(), wanted }, length);
         let answer = async {
             tokio::select! {
                 biased;
-                answer = exchange(&mut connection.sender, request) => answer,
+                answer = exchange(&mut connection.sender, request, &meter) => answer,
                 () = meter.stalled() => Err("the answer has no end".into()),
             }
         };
-        match timeout_at(until, answer).await {
+        let answer = match &message.body {
+            Load::Whole { .. } => timeout_at(until, answer).await.map_err(|_| Late),
+            Load::Flow(_) => within(&meter, answer).await,
+        };
+        match answer {
             Ok(Ok((outcome, reply, keep))) => {
-                report(outcome, reply);
+                let keep = match reply {
+                    Some((begun, headers, Answered::Whole(body))) => {
+                        let body = Either::Left(Full::new(body));
+                        report(outcome, Some(Reply { begun, headers, body }));
+                        keep
+                    }
+                    // From here on its time is the client's, and the module has learnt what it can.
+                    Some((begun, headers, Answered::Begun(read, rest))) => {
+                        let length = rest.size_hint().exact().map(|rest| read.len() as u64 + rest);
+                        let (source, flow) = Flow::new(length);
+                        report(outcome, Some(Reply { begun, headers, body: Either::Right(flow) }));
+                        keep && self.pass_on(read, rest, source).await
+                    }
+                    None => {
+                        report(outcome, None);
+                        keep
+                    }
+                };
                 meter.gate.replace(None);
                 let ready = keep && matches!(timeout(READY, connection.sender.ready()).await, Ok(Ok(())));
                 if ready && endpoint.is_open() {
                     endpoint.idle.borrow_mut().push(Idle { connection, since: Instant::now() });
                 }
             }
-            Ok(Err(_)) if meter.denied.get() && !meter.begun.get() => report(Outcome::Moot, None),
+            Ok(Err(_)) if meter.denied.get() && !meter.begun.get() || meter.spoilt.get() => {
+                report(Outcome::Moot, None);
+            }
             Ok(Err(_)) | Err(_) if !meter.complete() => report(Outcome::ConnectFailed, None),
             Ok(Err(e)) => {
                 note!("an answer broke: {e}");
@@ -422,36 +538,84 @@
     }
 }
 
-/// Sends a request and reads the whole answer; the flag says whether the connection may be kept.
+/// What has been read of an answer's body when it is passed on.
+enum Answered {
+    Whole(Bytes),
+    Begun(Bytes, Incoming),
+}
+
+/// The time for an answer is over.
+struct Late;
+
+type Exchanged = (Outcome, Option<(Instant, HeaderMap, Answered)>, bool);
+
+/// An exchange whose request still comes: its time ends a while after the request's last byte.
+async fn within<T>(meter: &Meter, answer: impl Future<Output = T>) -> Result<T, Late> {
+    let late = async {
+        loop {
+            match meter.until.get() {
+                Some(until) => return sleep_until(until).await,
+                None => meter.whole.notified().await,
+            }
+        }
+    };
+    tokio::select! {
+        biased;
+        answer = answer => Ok(answer),
+        () = late => Err(Late),
+    }
+}
+
+/// Sends a request and reads its answer, as far as it is held back; the flag says whether the connection may be
+/// kept.
 async fn exchange(
-    sender: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>,
-) -> Result<(Outcome, Option<Reply>, bool), String> {
+    sender: &mut SendRequest<Written>, request: Request<Written>, meter: &Meter,
+) -> Result<Exchanged, String> {
     let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
+    let begun = meter.begins.get().unwrap_or_else(Instant::now);
     let (head, body) = answer.into_parts();
-    // A body that only the connection's end delimits may be cut short and nobody could tell.
-    if body.size_hint().exact().is_none() && !head.headers.contains_key(header::TRANSFER_ENCODING) {
-        return Err("the answer's length is not told".into());
-    }
-    if body.size_hint().lower() > BODY as u64 {
+    let length = body.size_hint().exact();
+    if length.is_some_and(|length| length > MOST) {
         return Err("the answer is too long".into());
     }
-    let body = timeout(STALL, Limited::new(body, BODY).collect()).await.map_err(|e| e.to_string())?;
-    let body = body.map_err(|e| e.to_string())?.to_bytes();
+    let body = match length {
+        Some(length) if length > BODY as u64 => Answered::Begun(Bytes::new(), body),
+        _ => first_part(body).await?,
+    };
     let mut unseen = head.headers.get_all("x-not-processed").iter();
     let unseen = unseen.next().is_some_and(|v| v.as_bytes().trim_ascii() == b"1") && unseen.next().is_none();
     Ok(match head.status {
         StatusCode::OK => {
             let mut headers = head.headers;
             strip(&mut headers);
-            (Outcome::Served, Some(Reply { headers, body }), true)
+            (Outcome::Served, Some((begun, headers, body)), true)
         }
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unseen => {
-            (Outcome::Full, None, true)
+            (Outcome::Full, None, matches!(body, Answered::Whole(_)))
+        }
+        status => {
+            let keep = status != StatusCode::SWITCHING_PROTOCOLS && matches!(body, Answered::Whole(_));
+            (Outcome::Error, None, keep)
         }
-        status => (Outcome::Error, None, status != StatusCode::SWITCHING_PROTOCOLS),
     })
 }
 
+/// Reads a body until it is whole, or too long or too slow to be held back.
+async fn first_part(mut body: Incoming) -> Result<Answered, String> {
+    let told = body.size_hint().exact().is_some();
+    let (begun, mut read) = (Instant::now(), BytesMut::new());
+    loop {
+        let frame = timeout(STALL, body.frame()).await.map_err(|_| "the answer has no end")?;
+        let Some(frame) = frame else { return Ok(Answered::Whole(read.freeze())) };
+        if let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() {
+            read.extend_from_slice(&data);
+        }
+        if read.len() > BODY || !told && begun.elapsed() > HOLD {
+            return Ok(Answered::Begun(read.freeze(), body));
+        }
+    }
+}
+
 /// Takes out the headers that concern one connection alone, and the length, which is set anew.
 pub fn strip(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
@@ -480,16 +644,39 @@
 }
 
 impl Outgoing {
-    /// The request for one attempt; `X-Timeout` tells how long this proxy will wait.
-    fn request(&self, until: Instant) -> Option<Request<Full<Bytes>>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    /// Whether its body has gone out for good.
+    pub fn is_spent(&self) -> bool {
+        matches!(&self.body, Load::Flow(upload) if upload.flow.borrow().is_none())
+    }
+
+    /// The request for one attempt and the length of its body; `X-Timeout` tells how long this proxy will wait.
+    fn request(&self, until: Instant, meter: &Rc<Meter>) -> Option<(Request<Written>, usize)> {
+        let mut patience = until.saturating_duration_since(Instant::now());
+        let (body, length) = match &self.body {
+            Load::Whole { body, .. } => (Either::Left(Full::new(body.clone())), body.len()),
+            Load::Flow(upload) => {
+                patience = upload.patience;
+                let mut flow = upload.flow.borrow_mut().take()?;
+                let (meter, told) = (meter.clone(), upload.whole.clone());
+                flow.at_end(Box::new(move |whole| {
+                    if whole {
+                        meter.taken(Instant::now() + patience);
+                        told();
+                    } else {
+                        meter.spoilt.set(true);
+                    }
+                }));
+                let length = flow.size_hint().exact();
+                (Either::Right(flow), length.map_or(UNKNOWN, |length| length as usize))
+            }
+        };
+        let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
-        let left = until.saturating_duration_since(Instant::now()).as_secs_f64();
-        let left = HeaderValue::from_str(&format!("{left:.3}")).ok()?;
-        request.headers_mut().insert("x-timeout", left);
-        Some(request)
+        let patience = HeaderValue::from_str(&format!("{:.3}", patience.as_secs_f64())).ok()?;
+        request.headers_mut().insert("x-timeout", patience);
+        Some((request, length))
     }
 }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -104,6 +104,7 @@
             Event::Ended { request, attempt, latency, outcome, closed, .. } => {
                 self.ended(now, request, attempt as usize, latency, outcome, closed, out);
             }
+            Event::Upload { request, stage } => self.upload(now, request, stage),
             Event::Twin(twin) => self.overlay.twin = twin,
             Event::Maintenance { backend, banned } => self.maintain(now, backend, banned),
             Event::Abandoned(id) => self.finish(id),
@@ -492,7 +493,7 @@
         self.begin(now, id, k, lone);
         let s = &mut self.servers[k];
         s.progress = if s.own == 0 { now } else { s.progress };
-        s.own += 1;
+        s.own += u32::from(!self.requests[&id].uploading);
         s.tokens -= 1.0;
         out.push(Action::Send { request: id, backend: s.info.id, timeout: None });
         self.place(k, now);
@@ -505,7 +506,7 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(a) = r.attempts.get_mut(attempt).filter(|a| !a.over) else { return };
         (a.over, a.ran) = (true, outcome.may_have_run());
-        let (k, lone, silent) = (a.server, a.lone, a.silent);
+        let (k, lone, silent) = (a.server, a.lone, a.silent || r.uploading); // either holds no slot
         let (class, size, home) = (r.class, r.size, r.home);
         r.done |= closed;
         self.running.retain(|o| *o != id);
@@ -571,6 +572,9 @@
 
     /// When a request stops being of use: at its aim, unless a late answer earns something and has room.
     fn end(&self, r: &Request) -> Millis {
+        if r.uploading {
+            return f64::INFINITY; // its client still sends
+        }
         let late = self.cfg.classes[r.class].late_worth > 0.0;
         let crowded = r.waiting && self.waiting > self.running.len();
         if late && !crowded { r.due } else { r.aim.min(r.due) }
@@ -602,7 +606,7 @@
 
     /// Looks after a running request: is its server hung, is it still of use?
     fn watch(&mut self, now: Millis, id: RequestId, out: &mut Vec<Action>) {
-        let Some(r) = self.requests.get(&id) else { return };
+        let Some(r) = self.requests.get(&id).filter(|r| !r.uploading) else { return };
         let usual = self.usual(r);
         let patience =
             |a: &Attempt| HANG * usual * self.servers[a.server].slow.0.max(1.0) / self.warmth(a.server, now);
@@ -632,7 +636,7 @@
     fn may_repeat(&self, r: &Request, now: Millis) -> bool {
         let harmless = self.cfg.classes[r.class].effect == Effect::Safe || !r.may_have_run();
         let dropped = || self.bound(r).is_some_and(|(.., until)| now < until);
-        (harmless || dropped()) && r.attempts.len() < self.cfg.limits.max_attempts as usize
+        !r.spent && (harmless || dropped()) && r.attempts.len() < self.cfg.limits.max_attempts as usize
     }
 
     // ---- cold starts and drains ----
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -242,6 +242,17 @@
     }
 }
 
+/// How far a body is that is sent on while it still comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Upload {
+    /// It comes. The request's time has not begun.
+    Begun,
+    /// Its last byte has come, with which the request's time begins.
+    Whole,
+    /// It can't be sent again.
+    Spent,
+}
+
 /// What a proxy sees.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -287,6 +298,13 @@
         /// Whether the request is finished.
         closed: bool,
     },
+    /// How far the body of a request is that is sent on while it still comes.
+    Upload {
+        /// The request.
+        request: RequestId,
+        /// How far.
+        stage: Upload,
+    },
     /// An operator takes a server out of use, or puts it back; a list can't.
     Maintenance {
         /// The server, listed or not.
--- a/src/state.rs
+++ b/src/state.rs
@@ -141,6 +141,9 @@
     pub waiting: bool,
     pub done: bool,
     pub started: bool,
+    pub begun: Millis,   // when its body began to be sent on
+    pub uploading: bool, // its body still comes, while it is sent on
+    pub spent: bool,     // its body can't be sent again
 }
 
 impl Request {
@@ -148,7 +151,23 @@
         class: usize, size: f64, over_share: bool, aim: Millis, due: Millis, key: u64, home: Option<usize>,
     ) -> Self {
         let (attempts, waiting, done, started) = (Vec::new(), false, false, false);
-        Request { class, size, over_share, aim, due, key, home, attempts, waiting, done, started }
+        let (begun, uploading, spent) = (0.0, false, false);
+        Request {
+            class,
+            size,
+            over_share,
+            aim,
+            due,
+            key,
+            home,
+            attempts,
+            waiting,
+            done,
+            started,
+            begun,
+            uploading,
+            spent,
+        }
     }
 
     pub fn running(&self) -> bool {
@@ -418,6 +437,31 @@
         }
     }
 
+    /// Notes how far a body is that is sent on while it comes. Until its last byte a server has no work with it, and
+    /// none of its slots is taken.
+    pub(crate) fn upload(&mut self, now: Millis, id: RequestId, stage: Upload) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        match stage {
+            Upload::Spent => r.spent = true,
+            Upload::Begun if !r.uploading => (r.uploading, r.begun) = (true, now),
+            Upload::Whole if r.uploading => {
+                let late = now - r.begun;
+                (r.aim, r.due, r.uploading) = (r.aim + late, r.due + late, false);
+            }
+            Upload::Begun | Upload::Whole => return,
+        }
+        let out = r.attempts.iter_mut().filter(|a| !a.over && !a.silent);
+        for k in out.map(|a| (a.sent = now, a.server).1).collect::<Vec<_>>() {
+            let own = &mut self.servers[k].own;
+            match stage {
+                Upload::Begun => *own -= 1,
+                Upload::Whole => *own += 1,
+                Upload::Spent => {}
+            }
+            self.place(k, now);
+        }
+    }
+
     /// Takes one request off a tenant's allowance, if there is any left.
     pub(crate) fn within_share(&mut self, tenant: usize) -> bool {
         let Some(left) = self.allowance.get_mut(tenant) else { return true };
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -66,12 +66,30 @@
             message.headers.push((name.to_owned(), value.trim().to_owned()));
         }
     }
+    if message.header("transfer-encoding").is_some() {
+        return read_chunks(stream, message);
+    }
     let length = message.header("content-length").map_or(0, |v| v.parse().expect("a length"));
     message.body = vec![0; length];
     stream.read_exact(&mut message.body).ok()?;
     Some(message)
 }
 
+/// Reads a chunked body, up to its last chunk and no trailers.
+fn read_chunks(stream: &mut impl BufRead, mut message: Message) -> Option<Message> {
+    loop {
+        let mut line = String::new();
+        stream.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        let size = usize::from_str_radix(line.trim_end(), 16).ok()?;
+        let mut chunk = vec![0; size + 2];
+        stream.read_exact(&mut chunk).ok()?;
+        message.body.extend_from_slice(&chunk[..size]);
+        if size == 0 {
+            return Some(message);
+        }
+    }
+}
+
 /// What a backend does with a request.
 #[derive(Clone)]
 pub enum Deed {
@@ -81,6 +99,8 @@
     WriteAndClose(String),
     /// Says nothing until the gate opens, then writes these bytes.
     Hold(Gate, String),
+    /// Writes the first bytes, and the others once the gate opens.
+    Parts(String, Gate, String),
 }
 
 /// Something that opens once.
@@ -164,6 +184,10 @@
                 let _ = stream.shutdown(Shutdown::Both);
                 return;
             }
+            Deed::Parts(first, gate, rest) => stream.write_all(first.as_bytes()).and_then(|()| {
+                gate.wait();
+                stream.write_all(rest.as_bytes())
+            }),
             Deed::Hold(gate, text) => {
                 gate.wait();
                 stream.write_all(text.as_bytes())
@@ -501,6 +525,37 @@
         self.answer()
     }
 
+    /// Reads so many bytes.
+    pub fn read(&mut self, count: usize) -> Vec<u8> {
+        let mut bytes = vec![0; count];
+        self.0.read_exact(&mut bytes).expect("so many bytes");
+        bytes
+    }
+
+    /// Reads a head alone.
+    pub fn head(&mut self) -> Message {
+        let mut message = Message::default();
+        loop {
+            let mut line = String::new();
+            assert!(self.0.read_line(&mut line).expect("a head") > 0, "it ends within a head");
+            match line.trim_end() {
+                "" => return message,
+                line if message.first.is_empty() => message.first = line.to_owned(),
+                line => {
+                    let (name, value) = line.split_once(':').expect("a header");
+                    message.headers.push((name.to_owned(), value.trim().to_owned()));
+                }
+            }
+        }
+    }
+
+    /// Bytes until the connection ends, in whatever way.
+    pub fn rest(&mut self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        let _ = self.0.read_to_end(&mut bytes);
+        bytes
+    }
+
     /// The answer as far as it tells where it ends, then whether the connection ends with nothing more on it.
     pub fn last_answer(&mut self) -> Option<(u16, bool)> {
         let answer = self.answer()?;
--- a/tests/upkeep.rs
+++ b/tests/upkeep.rs
@@ -1,4 +1,4 @@
-//! What operators do to the module.
+//! What operators do to the module, and bodies that come while they are sent on.
 mod common;
 
 use std::collections::BTreeMap;
@@ -86,3 +86,46 @@
     let after = served(&mut hand, 20_000)[&1];
     assert!(after > before * 4 / 5, "{after} of {before}");
 }
+
+fn upload(id: u64, stage: Upload) -> Event {
+    Event::Upload { request: RequestId(id), stage }
+}
+
+fn answers(actions: &[Action]) -> usize {
+    actions.iter().filter(|a| matches!(a, Action::Refuse { .. } | Action::Fail(_))).count()
+}
+
+#[test]
+fn a_body_that_still_comes_takes_no_slot_and_no_time() {
+    let filled = |uploading: bool| {
+        let mut hand = Hand::new(settings(1), vec![server(1)]);
+        assert_eq!(sends(&hand.give(request(1, 1, 3000.0))).len(), 1);
+        if uploading {
+            hand.give(upload(1, Upload::Begun));
+        }
+        let more: usize = (2..20).map(|id| sends(&hand.give(request(id, 0, 3000.0))).len()).sum();
+        (hand, more)
+    };
+    let (mut hand, more) = filled(true);
+    assert_eq!(more, filled(false).1 + 1, "one more slot is free");
+    // The others are answered in time; the one that still comes is not.
+    let others = answers(&hand.pass(10_000.0));
+    assert_eq!(others, 18);
+    hand.give(upload(1, Upload::Whole));
+    assert_eq!(answers(&hand.pass(500.0)), 0, "its time has begun just now");
+    assert_eq!(answers(&hand.pass(3000.0)), 1);
+}
+
+#[test]
+fn a_body_that_is_spent_is_not_sent_again() {
+    for spent in [false, true] {
+        let mut hand = Hand::new(settings(1), vec![server(1), server(2)]);
+        assert_eq!(sends(&hand.give(request(1, 0, 3000.0))).len(), 1);
+        hand.give(upload(1, Upload::Begun));
+        if spent {
+            hand.give(upload(1, Upload::Spent));
+        }
+        let next = hand.give(ended(1, 0, 5.0, Outcome::ConnectFailed));
+        assert_eq!((sends(&next).len(), answers(&next)), if spent { (0, 1) } else { (1, 0) });
+    }
+}
