--- /dev/null
+++ b/src/bin/sandgap/classes.rs
@@ -0,0 +1,162 @@
+//! The classes on offer. Each is a name with its rules in a numbered place, and a number means the same rules for as long
+//! as a request bears it.
+
+use std::rc::Rc;
+
+use wharfhitch::settings::Names;
+use wharfhitch::{Class, ClassId, Retuning, Settings};
+
+/// Places at most, whatever the files of many years name.
+const MOST: usize = 256;
+
+/// Held by each request of a class: its place is not used for another one meanwhile.
+pub type Hold = Rc<()>;
+
+struct Place {
+    name: Rc<str>,
+    rules: Class,
+    hold: Hold,
+    offered: bool,
+}
+
+/// What a request takes of its class.
+pub struct Lane {
+    pub id: ClassId,
+    pub name: Rc<str>,
+    pub rules: Class,
+    pub hold: Hold,
+}
+
+/// All places, and the names of the tenants.
+pub struct Classes {
+    places: Vec<Place>,
+    pub tenants: Vec<String>,
+}
+
+impl Classes {
+    pub fn new(names: &Names, rules: &[Class]) -> Self {
+        let place = |(name, rules): (&String, &Class)| Place {
+            name: name.as_str().into(),
+            rules: rules.clone(),
+            hold: Hold::default(),
+            offered: true,
+        };
+        let places = names.classes.iter().zip(rules).map(place).collect();
+        Classes { places, tenants: names.tenants.clone() }
+    }
+
+    /// The class of that name, if it is on offer.
+    pub fn find(&self, name: &str) -> Option<Lane> {
+        let id = self.places.iter().position(|p| p.offered && *p.name == *name)?;
+        let Place { name, rules, hold, .. } = &self.places[id];
+        Some(Lane { id: ClassId(id), name: name.clone(), rules: rules.clone(), hold: hold.clone() })
+    }
+
+    /// Names on offer, and their places.
+    pub fn offered(&self) -> impl Iterator<Item = (&str, usize)> {
+        self.places.iter().enumerate().filter(|(_, p)| p.offered).map(|(id, p)| (&*p.name, id))
+    }
+
+    /// The longest deadline of a class that is on offer or has open requests.
+    pub fn longest(&self) -> f64 {
+        let used = self.places.iter().filter(|p| p.offered || Rc::strong_count(&p.hold) > 1);
+        used.map(|p| p.rules.deadline).fold(0.0, f64::max)
+    }
+
+    /// Offers the classes of these settings and no others; returns them with their places for the module.
+    pub fn retune(&mut self, names: &Names, mut settings: Settings) -> Result<Retuning, String> {
+        let free = |p: &Place| !p.offered && Rc::strong_count(&p.hold) == 1;
+        let known = |p: &Place| {
+            names.classes.iter().zip(&settings.classes).any(|(n, c)| *p.name == **n && p.rules == *c)
+        };
+        let new = settings.classes.len()
+            - self.places.iter().filter(|p| known(p)).count().min(settings.classes.len());
+        if self.places.len() + new > MOST + self.places.iter().filter(|p| free(p)).count() {
+            return Err(format!("over {MOST} classes"));
+        }
+        let mut from: Vec<Option<usize>> = (0..self.places.len()).map(Some).collect();
+        let before: Vec<(Rc<str>, usize)> = self.offered().map(|(name, id)| (name.into(), id)).collect();
+        self.places.iter_mut().for_each(|p| p.offered = false);
+        for (name, rules) in names.classes.iter().zip(&settings.classes) {
+            let same = |p: &Place| !p.offered && *p.name == **name && p.rules == *rules;
+            if let Some(place) = self.places.iter_mut().find(|p| same(p)) {
+                place.offered = true;
+                continue;
+            }
+            let place = Place {
+                name: name.as_str().into(),
+                rules: rules.clone(),
+                hold: Hold::default(),
+                offered: true,
+            };
+            let learnt = before.iter().find(|(n, _)| **n == **name).map(|(_, id)| *id);
+            // What was on offer just now may still be learnt from.
+            let used = |id: usize| before.iter().any(|(_, b)| *b == id);
+            match (0..self.places.len()).find(|id| free(&self.places[*id]) && !used(*id)) {
+                Some(id) => (self.places[id], from[id]) = (place, learnt),
+                None => {
+                    self.places.push(place);
+                    from.push(learnt);
+                }
+            }
+        }
+        self.tenants.clone_from(&names.tenants);
+        settings.classes = self.places.iter().map(|p| p.rules.clone()).collect();
+        Ok(Retuning { settings, from, offered: self.places.iter().map(|p| p.offered).collect() })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use wharfhitch::settings;
+
+    fn parsed(classes: &[(&str, f64)]) -> (Settings, Names) {
+        let classes: Vec<_> = classes
+            .iter()
+            .map(|(name, deadline)| serde_json::json!({"name": name, "deadline": deadline, "effect": "idempotent"}))
+            .collect();
+        settings::parse(&serde_json::json!({ "classes": classes }))
+    }
+
+    fn retuned(classes: &mut Classes, to: &[(&str, f64)]) -> Retuning {
+        let (settings, names) = parsed(to);
+        classes.retune(&names, settings).expect("it fits")
+    }
+
+    #[test]
+    fn a_number_keeps_its_rules_while_a_request_bears_it() {
+        let (settings, names) = parsed(&[("a", 100.0), ("b", 200.0)]);
+        let mut classes = Classes::new(&names, &settings.classes);
+        let open = classes.find("a").expect("on offer");
+        // Reordered, with other rules for one.
+        let to = retuned(&mut classes, &[("b", 200.0), ("a", 300.0)]);
+        let (a, b) = (classes.find("a").expect("on offer"), classes.find("b").expect("on offer"));
+        assert_eq!((b.id.0, a.rules.deadline, to.from[a.id.0]), (1, 300.0, Some(open.id.0)));
+        assert!(a.id != open.id && to.settings.classes[open.id.0].deadline == 100.0);
+        assert!(!to.offered[open.id.0] && to.offered[a.id.0]);
+        // Dropped, and its place stays for as long as it is held.
+        let to = retuned(&mut classes, &[("c", 1.0)]);
+        assert!(classes.find("a").is_none() && classes.find("b").is_none());
+        assert_eq!(to.settings.classes[open.id.0].deadline, 100.0);
+        assert_eq!(classes.longest(), 300.0, "of what is held");
+        drop((open, a, b));
+        assert_eq!(classes.longest(), 1.0);
+        // Many files later there are no more places than are needed at once.
+        for n in 0..1000 {
+            retuned(&mut classes, &[("a", f64::from(n) + 1.0), ("b", 5.0)]);
+        }
+        assert!(classes.places.len() < 12, "{}", classes.places.len());
+    }
+
+    #[test]
+    fn too_many_classes_change_nothing() {
+        let (settings, names) = parsed(&[("a", 100.0)]);
+        let mut classes = Classes::new(&names, &settings.classes);
+        let many: Vec<String> = (0..1000).map(|n| format!("c{n}")).collect();
+        let many: Vec<(&str, f64)> = many.iter().map(|n| (n.as_str(), 1.0)).collect();
+        let (settings, names) = parsed(&many);
+        assert!(classes.retune(&names, settings).is_err());
+        assert!(classes.find("a").is_some() && classes.find("c1").is_none());
+    }
+}
--- a/src/bin/sandgap/config.rs
+++ b/src/bin/sandgap/config.rs
@@ -63,6 +63,8 @@
     pub settings: Settings,
     pub names: Names,
     pub connections: Connections,
+    /// The file as it stands, but for the remembered list.
+    pub raw: Value,
 }
 
 /// Reads the file; the message of an error names what is wrong with it.
@@ -71,8 +73,59 @@
     parse(&text).map_err(|e| format!("{}: {e}", path.display()))
 }
 
+/// Reads the file for a process that runs, whose own one is `running`: nothing may be missing or out of place.
+pub fn reread(path: &Path, running: &Value) -> Result<Config, String> {
+    let again = |text: &str| {
+        let raw = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        complete(running, &raw, "")?;
+        settings::check(&raw["settings"])?;
+        parse(text)
+    };
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    again(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// Keys that may come and go.
+const OPTIONAL: [&str; 5] = ["known", "aimStretch", "passesDeadline", "warmKeys", "admin_addr"];
+
+/// Whether a file has all keys that another one has, with values of the same kinds; its classes, those that all
+/// classes of the other one have.
+fn complete(old: &Value, new: &Value, path: &str) -> Result<(), String> {
+    if old.is_null() {
+        return Ok(());
+    }
+    if old.is_number() != new.is_number()
+        || old.is_string() != new.is_string()
+        || old.is_object() != new.is_object()
+        || old.is_array() != new.is_array()
+        || old.is_boolean() != new.is_boolean()
+    {
+        return Err(format!("'{path}' is missing or of another kind"));
+    }
+    for (key, old) in
+        old.as_object().into_iter().flatten().filter(|(key, _)| !OPTIONAL.contains(&key.as_str()))
+    {
+        let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+        complete(old, &new[key], &path)?;
+    }
+    if let (Some(old), Some(new)) = (old.as_array(), new.as_array())
+        && let Some((first, others)) = old.split_first()
+        && let Some(first) = first.as_object()
+    {
+        let mut common = first.clone();
+        common.retain(|key, _| others.iter().all(|other| !other[key].is_null()));
+        let common = Value::Object(common);
+        new.iter().try_for_each(|new| complete(&common, new, path))?;
+    }
+    Ok(())
+}
+
 fn parse(text: &str) -> Result<Config, String> {
+    let mut raw: Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
     let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    if let Some(all) = raw.as_object_mut() {
+        all.remove("known");
+    }
     if !file.settings.is_object() {
         return Err("'settings' is no object".into());
     }
@@ -105,6 +158,7 @@
         connections: settings::connections(&file.settings),
         settings,
         names,
+        raw,
     })
 }
 
@@ -139,6 +193,51 @@
         assert!(parse(&GOOD.replace("\"mayTell\":true", "\"mayTell\":false")).expect("good").peers.is_none());
     }
 
+    #[test]
+    fn a_process_that_runs_takes_nothing_from_a_broken_file() {
+        let good = GOOD
+            .replace("\"deadline\":900", "\"deadline\":900,\"promise\":500,\"worth\":1.0")
+            .replace("\"mayTell\":true", "\"mayTell\":true,\"maxAttempts\":3");
+        let running = parse(&good).expect("good").raw;
+        let file = std::env::temp_dir().join(format!("reread-{}.json", std::process::id()));
+        let reread = |text: &str| {
+            std::fs::write(&file, text).expect("a file");
+            reread(&file, &running).map(|config| config.names.classes)
+        };
+        assert_eq!(reread(&good), Ok(vec!["page".to_owned()]));
+        // A class may be added, and its effect be another one.
+        let added = "{\"name\":\"x\",\"effect\":\"at_most_once\",\"deadline\":1,\"promise\":1,\"worth\":1},{\"name\":\"page\"";
+        assert_eq!(reread(&good.replace("{\"name\":\"page\"", added)).expect("good").len(), 2);
+        for (from, to) in [
+            (good.as_str(), ""),
+            ("\"settings\"", "\"other\""),
+            ("\"discovery\":\"127.0.0.1:8500\",", ""),
+            ("\"limits\":{\"sockets\":512},", ""),
+            ("\"ceilings\"", "\"floors\""),
+            ("\"dialTimeout\":120,", ""),
+            ("\"deadline\":900,", ""),
+            ("\"effect\":\"idempotent\",", ""),
+            ("\"effect\":\"idempotent\"", "\"effect\":\"perhaps\""),
+            ("\"effect\":\"idempotent\"", "\"effect\":\"deduplicated\""),
+            ("\"deadline\":900", "\"deadline\":0"),
+            ("\"deadline\":900", "\"deadline\":-1"),
+            ("\"deadline\":900", "\"deadline\":\"900\""),
+            ("\"deadline\":900", "\"deadline\":null"),
+            ("\"maxAttempts\":3", "\"maxAttempts\":0"),
+            ("\"maxAttempts\":3", "\"maxAttempts\":-3"),
+            ("\"maxAttempts\":3", "\"maxAttempts\":\"3\""),
+            ("\"maxAttempts\":3", "\"maxAttempts\":2.5"),
+            ("\"nInstances\":1", "\"nInstances\":[]"),
+        ] {
+            assert!(good.contains(from), "{from}");
+            assert!(reread(&good.replace(from, to)).is_err(), "{from} -> {to}");
+        }
+        for cut in 1..good.len() - 1 {
+            assert!(reread(&good[..cut]).is_err(), "cut at {cut}");
+        }
+        std::fs::remove_file(&file).expect("it is there");
+    }
+
     #[test]
     fn what_is_wrong_is_named() {
         for (from, to, word) in [
--- a/src/bin/sandgap/driver.rs
+++ b/src/bin/sandgap/driver.rs
@@ -1,6 +1,6 @@
 //! The sole owner of the decision module: feeds it what the sockets see and does what it says, in order.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::net::SocketAddr;
@@ -12,13 +12,14 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
-use wharfhitch::settings::{Names, index_of, number_of};
+use wharfhitch::settings::{Connections, Names, index_of, number_of};
 use wharfhitch::{
     Action, Backend, BackendId, Balancer, CellId, ClassId, Event, Key, KindId, Learnt, Millis, Outcome,
-    RequestId, Scope, State, TenantId, Upload, ZoneId,
+    RequestId, Retuning, Scope, State, TenantId, Upload, ZoneId,
 };
 
 use crate::admin::{Command, Order};
+use crate::classes::{Classes, Hold};
 use crate::discovery::{self, Host};
 use crate::frontend::OpenId;
 use crate::handover::{Handover, Speeds, State as Left};
@@ -46,6 +47,8 @@
     Request(Box<Arrival>),
     /// Its client has left.
     Gone(RequestId),
+    /// Other settings.
+    Retune(Box<(Retuning, Connections)>),
     /// The last byte of a body that is sent on while it comes has been taken.
     Uploaded(RequestId),
     /// An attempt has ended.
@@ -60,6 +63,7 @@
 pub struct Arrival {
     pub id: RequestId,
     pub class: ClassId,
+    pub hold: Hold,
     pub tenant: Option<TenantId>,
     pub key: Option<Key>,
     pub hint: Option<Millis>,
@@ -136,6 +140,8 @@
     sent: Rc<Cell<Instant>>,
     attempts: u32,
     out: u32,
+    /// Its class keeps its rules for as long.
+    _hold: Hold,
     /// Its id is taken for as long.
     _open: OpenId,
 }
@@ -148,6 +154,7 @@
 
 /// What the driver needs of the other parts.
 pub struct Parts {
+    pub classes: Rc<RefCell<Classes>>,
     /// What operators ask for.
     pub commands: mpsc::UnboundedReceiver<Command>,
     pub inbox: Inbox,
@@ -352,12 +359,13 @@
         }
         let own = |id: &u64| BackendId(*id);
         let at = |unix: f64| unix - self.clock.unix_start;
-        let class = |name: &String| speeds.classes.get(name).copied().unwrap_or_default();
+        let classes = self.parts.classes.borrow();
+        let class = |(name, _)| speeds.classes.get(name).copied().unwrap_or_default();
         let kind = |name: &str| speeds.kinds.get(name).copied().unwrap_or_default();
         let kinds = std::iter::once("").chain(self.names.kinds.iter().map(String::as_str));
         self.balancer.resume(Learnt {
             servers: speeds.servers.iter().map(|(id, slow)| (own(id), *slow)).collect(),
-            classes: self.names.classes.iter().map(class).collect(),
+            classes: classes.offered().map(class).collect(),
             kinds: kinds.map(kind).collect(),
             back: speeds.back.iter().map(|(id, away, back)| (own(id), at(*away), at(*back))).collect(),
         });
@@ -365,12 +373,14 @@
 
     fn speeds(&self) -> Speeds {
         let learnt = self.balancer.learnt();
+        let classes = self.parts.classes.borrow();
+        let class = |(name, id): (&str, usize)| Some((name.to_owned(), *learnt.classes.get(id)?));
         let at = |time: f64| time + self.clock.unix_start;
         let kinds = std::iter::once("").chain(self.names.kinds.iter().map(String::as_str));
         let kinds = kinds.map(str::to_owned).zip(learnt.kinds);
         Speeds {
             servers: learnt.servers.into_iter().map(|(id, slow)| (id.0, slow)).collect(),
-            classes: self.names.classes.iter().cloned().zip(learnt.classes).collect(),
+            classes: classes.offered().filter_map(class).collect(),
             // What has not been measured is infinite, which the file's form can't say.
             kinds: kinds.filter(|(_, (_, calm, _))| calm.is_finite()).collect(),
             back: learnt.back.into_iter().map(|(id, away, back)| (id.0, at(away), at(back))).collect(),
@@ -392,6 +402,11 @@
                     self.handle(Event::Abandoned(id));
                 }
             }
+            Input::Retune(to) => {
+                let (retuning, connections) = *to;
+                self.parts.upstreams.retune(&connections);
+                self.handle(Event::Retune(Box::new(retuning)));
+            }
             Input::Uploaded(id) => self.uploaded(id),
             Input::Ended { request, attempt, latency, outcome, reply } => {
                 self.ended(request, attempt, latency, outcome, reply);
@@ -405,7 +420,7 @@
     }
 
     fn request(&mut self, arrival: Arrival) {
-        let Arrival { id, class, tenant, key, hint, deadline, upload, message, answer, open } = arrival;
+        let Arrival { id, class, hold, tenant, key, hint, deadline, upload, message, answer, open } = arrival;
         let last = deadline - LAST_RESORT;
         let now = Instant::now();
         let budget = upload.unwrap_or(last.saturating_duration_since(now)).as_secs_f64() * 1000.0;
@@ -420,6 +435,7 @@
                 sent: Rc::new(Cell::new(now)),
                 attempts: 0,
                 out: 0,
+                _hold: hold,
                 _open: open,
             },
         );
--- a/src/bin/sandgap/frontend.rs
+++ b/src/bin/sandgap/frontend.rs
@@ -25,9 +25,10 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
-use wharfhitch::settings::{Names, number_of};
-use wharfhitch::{Class, ClassId, Effect, Key, RequestId, TenantId};
+use wharfhitch::settings::number_of;
+use wharfhitch::{Effect, Key, RequestId, TenantId};
 
+use crate::classes::{Classes, Lane};
 use crate::driver::{Answer, Arrival, Inbox, Input};
 use crate::flow::{self, Fault, Flow, Pace};
 use crate::handover::Handover;
@@ -167,8 +168,7 @@
 /// What all connections share.
 pub struct Frontend {
     pub inbox: Inbox,
-    pub names: Names,
-    pub classes: Vec<Class>,
+    pub classes: Rc<RefCell<Classes>>,
     pub upstreams: Rc<Upstreams>,
     pub budget: Budget,
     pub metrics: Arc<Metrics>,
@@ -188,12 +188,11 @@
 
 impl Frontend {
     pub fn new(
-        inbox: Inbox, names: Names, classes: Vec<Class>, upstreams: Rc<Upstreams>, budget: Budget,
+        inbox: Inbox, classes: Rc<RefCell<Classes>>, upstreams: Rc<Upstreams>, budget: Budget,
         metrics: Arc<Metrics>, drained: Rc<Cell<bool>>,
     ) -> Rc<Self> {
         Rc::new(Frontend {
             inbox,
-            names,
             classes,
             upstreams,
             budget,
@@ -238,7 +237,7 @@
         } else {
             self.accept_last(listener).await;
         }
-        let longest = self.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+        let longest = self.classes.borrow().longest();
         let end = Instant::now() + Duration::from_secs_f64(longest.min(1e6) / 1000.0) + FINISH;
         while self.busy.get() > 0 {
             if timeout_at(end, self.left.notified()).await.is_err() {
@@ -515,10 +514,11 @@
         let (answer, answered) = oneshot::channel();
         let message = Outgoing { method: head.method, uri: target(&head.uri), headers, body: load };
         let taken = self.taken(&asked);
-        let Asked { class, tenant, key, hint, .. } = asked;
+        let Asked { lane, tenant, key, hint, .. } = asked;
         self.inbox.put(Input::Request(Box::new(Arrival {
             id,
-            class,
+            class: lane.id,
+            hold: lane.hold,
             tenant,
             key,
             hint,
@@ -605,7 +605,7 @@
 
     /// Notes that a request has been taken.
     fn taken(&self, asked: &Asked) -> Taken {
-        self.metrics.take(&self.names.classes[asked.class.0])
+        self.metrics.take(&asked.lane.name)
     }
 
     /// Reads what the module has to know; what can't be right goes no further.
@@ -614,22 +614,22 @@
     ) -> Result<Asked, (StatusCode, &'static str)> {
         let bad = |text| (StatusCode::BAD_REQUEST, text);
         let name = uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-        let class = self.names.classes.iter().position(|c| c == name);
-        let class = class.ok_or((StatusCode::NOT_FOUND, "no such class"))?;
-        let wanted = if self.classes[class].effect == Effect::Safe { Method::GET } else { Method::POST };
+        let classes = self.classes.borrow();
+        let lane = classes.find(name).ok_or((StatusCode::NOT_FOUND, "no such class"))?;
+        let wanted = if lane.rules.effect == Effect::Safe { Method::GET } else { Method::POST };
         if *method != wanted {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "not the method of this class"));
         }
-        let keyed = matches!(self.classes[class].effect, Effect::Keyed { .. });
+        let keyed = matches!(lane.rules.effect, Effect::Keyed { .. });
         if keyed != one(headers, "idempotency-key")?.is_some() && *method == Method::POST {
             return Err(bad("Idempotency-Key does not fit the class"));
         }
         let id = one(headers, "x-request-id")?.filter(|id| !id.is_empty());
         let id = id.ok_or(bad("X-Request-ID is missing"))?.to_owned();
         let tenant = match one(headers, "x-tenant-id")? {
-            _ if self.names.tenants.is_empty() => None,
+            _ if classes.tenants.is_empty() => None,
             Some(name) => {
-                let tenant = self.names.tenants.iter().position(|t| t == name);
+                let tenant = classes.tenants.iter().position(|t| t == name);
                 Some(TenantId(tenant.ok_or(bad("no such tenant"))?))
             }
             None => return Err(bad("X-Tenant-Id is missing")),
@@ -640,11 +640,11 @@
             number.map(Some).ok_or(bad("a header is no number"))
         };
         let patience = number("x-timeout")?.ok_or(bad("X-Timeout is missing"))?;
-        let patience = Duration::from_secs_f64(patience.min(self.classes[class].deadline / 1000.0));
+        let patience = Duration::from_secs_f64(patience.min(lane.rules.deadline / 1000.0));
         let query = uri.query().unwrap_or_default();
         let sid = query.split('&').find_map(|p| p.strip_prefix("sid="));
         let hint = number("x-cost")?.map(|us| us / 1000.0);
-        Ok(Asked { id, class: ClassId(class), tenant, key: sid.map(|s| Key(number_of(s))), hint, patience })
+        Ok(Asked { id, lane, tenant, key: sid.map(|s| Key(number_of(s))), hint, patience })
     }
 }
 
@@ -657,7 +657,7 @@
 /// What a request's head says.
 struct Asked {
     id: String,
-    class: ClassId,
+    lane: Lane,
     tenant: Option<TenantId>,
     key: Option<Key>,
     hint: Option<f64>,
--- a/src/bin/sandgap/main.rs
+++ b/src/bin/sandgap/main.rs
@@ -1,6 +1,7 @@
 //! The reverse proxy: clients, backends, discovery and peers on sockets, every decision in the module.
 
 mod admin;
+mod classes;
 mod config;
 mod discovery;
 mod driver;
@@ -12,7 +13,7 @@
 mod peers;
 mod upstream;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -26,6 +27,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use wharfhitch::{Balancer, Scope};
 
+use classes::Classes;
 use config::Config;
 use driver::{Driver, Inbox, Input, Parts};
 use handover::Handover;
@@ -36,21 +38,44 @@
 /// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch.
 const RESERVE: usize = 32;
 
-/// At each SIGHUP reads the configuration's file again. Discovery may have moved; all else needs a new start.
-async fn reload(mut hup: Signal, path: PathBuf, discovery: watch::Sender<SocketAddr>, metrics: Arc<Metrics>) {
-    while hup.recv().await.is_some() {
-        match config::read(&path) {
-            Ok(Config { discovery: address, .. }) => {
-                note!("the configuration names discovery at {address}");
-                metrics.config_reloads.fetch_add(1, Relaxed);
-                discovery.send_if_modified(|old| std::mem::replace(old, address) != address);
-            }
-            Err(e) => {
-                note!("the configuration stays as it was: {e}");
-                metrics.config_reload_errors.fetch_add(1, Relaxed);
-            }
+/// What a reload concerns.
+struct Reload {
+    path: PathBuf,
+    /// The file that the process goes by.
+    running: serde_json::Value,
+    discovery: watch::Sender<SocketAddr>,
+    classes: Rc<RefCell<Classes>>,
+    inbox: Inbox,
+    metrics: Arc<Metrics>,
+}
+
+impl Reload {
+    /// Reads the file again at each SIGHUP.
+    async fn run(mut self, mut hup: Signal) {
+        while hup.recv().await.is_some() {
+            match self.take() {
+                Ok(()) => self.metrics.config_reloads.fetch_add(1, Relaxed),
+                Err(e) => {
+                    note!("the configuration stays as it was: {e}");
+                    self.metrics.config_reload_errors.fetch_add(1, Relaxed)
+                }
+            };
         }
     }
+
+    /// Takes all of the file or nothing: where discovery is and the settings. All else needs a new start.
+    fn take(&mut self) -> Result<(), String> {
+        let Config { discovery, names, settings, connections, raw, .. } =
+            config::reread(&self.path, &self.running)?;
+        let retuning = self.classes.borrow_mut().retune(&names, settings)?;
+        self.running = raw;
+        note!("the configuration names discovery at {discovery}");
+        names.classes.iter().for_each(|class| self.metrics.show(class));
+        // Requests that go by the new rules come after this.
+        self.inbox.put(Input::Retune(Box::new((retuning, connections))));
+        self.discovery.send_if_modified(|old| std::mem::replace(old, discovery) != discovery);
+        Ok(())
+    }
 }
 
 async fn run(path: PathBuf, config: Config) -> Result<(), String> {
@@ -65,7 +90,6 @@
     let (discovery, addresses) = watch::channel(config.discovery);
     let metrics = Arc::new(Metrics::default());
     config.names.classes.iter().for_each(|class| metrics.show(class));
-    spawn_local(reload(hup, path, discovery, metrics.clone()));
     let (listener, handover, left) = match std::env::var_os("NODE_PASSED_SOCKET") {
         Some(number) => {
             let listener =
@@ -81,6 +105,16 @@
     };
     let (inbox, inputs) = Inbox::new();
     let (orders, commands) = mpsc::unbounded_channel();
+    let classes = Rc::new(RefCell::new(Classes::new(&config.names, &config.settings.classes)));
+    let reload = Reload {
+        path,
+        running: config.raw,
+        discovery,
+        classes: classes.clone(),
+        inbox: inbox.clone(),
+        metrics: metrics.clone(),
+    };
+    spawn_local(reload.run(hup));
     let peers = match config.peers {
         Some(addresses) => {
             let on = format!("peers on {}", addresses.listen);
@@ -103,6 +137,7 @@
     let asked = Rc::new(Notify::new());
     let parts = Parts {
         commands,
+        classes: classes.clone(),
         inbox: inbox.clone(),
         upstreams: upstreams.clone(),
         peers,
@@ -112,10 +147,9 @@
         drained: drained.clone(),
         handover: handover.clone(),
     };
-    let classes = config.settings.classes.clone();
     let pushed = config.settings.discovery == wharfhitch::Discovery::Pushed;
     let balancer = Balancer::new(config.settings, config.seed);
-    let mut driver = Driver::new(balancer, config.names.clone(), parts);
+    let mut driver = Driver::new(balancer, config.names, parts);
     if left.as_ref().is_none_or(|left| left.hosts.is_empty()) {
         let known = discovery::remembered(&config.known).unwrap_or_default();
         inbox.put(Input::List(Scope::Cached, known));
@@ -125,8 +159,7 @@
     }
     let driver = spawn_local(driver.run(inputs));
     spawn_local(discovery::follow(addresses, inbox.clone(), (!pushed).then_some(asked)));
-    let front =
-        frontend::Frontend::new(inbox, config.names, classes, upstreams, budget, metrics.clone(), drained);
+    let front = frontend::Frontend::new(inbox, classes, upstreams, budget, metrics.clone(), drained);
     let address = listener.local_addr().map_err(at("the listener"))?;
     note!("{} listens on {address}", config.name);
     if let Some(address) = config.admin {
--- a/src/bin/sandgap/upstream.rs
+++ b/src/bin/sandgap/upstream.rs
@@ -24,6 +24,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use wharfhitch::Outcome;
+use wharfhitch::settings::Connections;
 
 use crate::flow::{Flow, Held, MOST, Memory, Part, Source};
 use crate::metrics::Metrics;
@@ -343,8 +344,8 @@
 pub struct Upstreams {
     pub memory: Memory,
     metrics: Arc<Metrics>,
-    dial_timeout: Duration,
-    idle_limit: Duration,
+    dial_timeout: Cell<Duration>,
+    idle_limit: Cell<Duration>,
     sockets: Arc<Semaphore>,
     most: usize,
     /// Connections opened since this was last asked.
@@ -354,16 +355,13 @@
 }
 
 impl Upstreams {
-    pub fn new(
-        connections: &wharfhitch::settings::Connections, sockets: usize, metrics: Arc<Metrics>,
-        memory: Memory,
-    ) -> Self {
-        let span = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3.6e6) / 1000.0);
+    pub fn new(connections: &Connections, sockets: usize, metrics: Arc<Metrics>, memory: Memory) -> Self {
+        let (dial_timeout, idle_limit) = spans(connections);
         Upstreams {
             memory,
             metrics,
-            dial_timeout: span(connections.dial_timeout),
-            idle_limit: span(connections.idle_close * IDLE_PART),
+            dial_timeout: Cell::new(dial_timeout),
+            idle_limit: Cell::new(idle_limit),
             sockets: Arc::new(Semaphore::new(sockets)),
             most: sockets,
             dials: Cell::new(0),
@@ -371,6 +369,13 @@
         }
     }
 
+    /// Goes by other figures from now on.
+    pub fn retune(&self, connections: &Connections) {
+        let (dial_timeout, idle_limit) = spans(connections);
+        self.dial_timeout.set(dial_timeout);
+        self.idle_limit.set(idle_limit);
+    }
+
     /// Sockets in use.
     pub fn in_use(&self) -> usize {
         self.most - self.sockets.available_permits()
@@ -389,7 +394,7 @@
     /// Closes connections that have stood idle for too long, and forgets processes that are done with.
     pub fn sweep(&self) {
         let now = Instant::now();
-        let fresh = |i: &Idle| now - i.since < self.idle_limit && i.connection.is_alive();
+        let fresh = |i: &Idle| now - i.since < self.idle_limit.get() && i.connection.is_alive();
         self.endpoints.borrow_mut().retain(|e| {
             e.idle.borrow_mut().retain(fresh);
             Rc::strong_count(e) > 1
@@ -409,11 +414,11 @@
         loop {
             // The one used last is the least likely to have been closed.
             let Some(idle) = endpoint.idle.borrow_mut().pop() else { break };
-            if idle.since.elapsed() < self.idle_limit && idle.connection.is_alive() {
+            if idle.since.elapsed() < self.idle_limit.get() && idle.connection.is_alive() {
                 return Ok(idle.connection);
             }
         }
-        timeout(self.dial_timeout, self.open(endpoint.address)).await?
+        timeout(self.dial_timeout.get(), self.open(endpoint.address)).await?
     }
 
     async fn open(&self, address: SocketAddr) -> io::Result<Connection> {
@@ -616,6 +621,12 @@
     }
 }
 
+/// For how long a connection may take to come up, and for how long it may stand idle.
+fn spans(connections: &Connections) -> (Duration, Duration) {
+    let span = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3.6e6) / 1000.0);
+    (span(connections.dial_timeout), span(connections.idle_close * IDLE_PART))
+}
+
 /// Takes out the headers that concern one connection alone, and the length, which is set anew.
 pub fn strip(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -105,6 +105,7 @@
                 self.ended(now, request, attempt as usize, latency, outcome, closed, out);
             }
             Event::Upload { request, stage } => self.upload(now, request, stage),
+            Event::Retune(to) => self.retune(*to),
             Event::Twin(twin) => self.overlay.twin = twin,
             Event::Maintenance { backend, banned } => self.maintain(now, backend, banned),
             Event::Abandoned(id) => self.finish(id),
@@ -130,7 +131,8 @@
         let home = key.filter(|_| self.cfg.warm_keys).and_then(|key| self.home(key, now));
         let (size, aim) = self.size_and_aim(class, hint);
         let (aim, key) = (now + aim.min(budget), key.map_or(0, |k| k.0));
-        let request = Request::new(class, size, over_share, aim, now + budget, key, home);
+        let mut request = Request::new(class, size, over_share, aim, now + budget, key, home);
+        request.most = self.cfg.limits.max_attempts as usize;
         self.requests.insert(id, request);
         if budget < MARGIN {
             return self.answer(id, out); // the next look could come too late for an answer in time
@@ -229,7 +231,7 @@
         }
         // A server back from a closing is tried with what may be repeated, if there is such traffic at all.
         let safe_class = |c: &Class| c.effect == Effect::Safe;
-        let safe = safe_class(&self.cfg.classes[r.class]) || !self.cfg.classes.iter().any(safe_class);
+        let safe = safe_class(&self.cfg.classes[r.class]) || !self.safe_traffic;
         let home = r.home.filter(|&h| !r.tried(h));
         // Near its aim a request goes to any open server: holding it further would cost its worth.
         let urgent = r.aim - now < 1.5 * self.usual(r) + MARGIN + 2.0 * TICK; // before it is given up
@@ -636,7 +638,7 @@
     fn may_repeat(&self, r: &Request, now: Millis) -> bool {
         let harmless = self.cfg.classes[r.class].effect == Effect::Safe || !r.may_have_run();
         let dropped = || self.bound(r).is_some_and(|(.., until)| now < until);
-        !r.spent && (harmless || dropped()) && r.attempts.len() < self.cfg.limits.max_attempts as usize
+        !r.spent && (harmless || dropped()) && r.attempts.len() < r.most
     }
 
     // ---- cold starts and drains ----
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -68,7 +68,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this span earns the full worth.
     pub aim: Millis,
@@ -312,6 +312,8 @@
         /// Whether nothing more may go there.
         banned: bool,
     },
+    /// Other settings. Those that need a new start stay as they were.
+    Retune(Box<Retuning>),
     /// Another process begins or ceases to share this proxy's part of everything, during an upgrade.
     Twin(bool),
     /// The client has gone; no answer is owed any more.
@@ -327,6 +329,17 @@
     },
 }
 
+/// Settings for a proxy that runs. A class keeps its number for as long as a request bears it.
+#[derive(Clone, Debug)]
+pub struct Retuning {
+    /// The settings; their classes are all that have a number, on offer or not.
+    pub settings: Settings,
+    /// For each class the number of the one whose history it takes over: its own, if its rules are the same.
+    pub from: Vec<Option<usize>>,
+    /// Which classes are on offer.
+    pub offered: Vec<bool>,
+}
+
 /// What a successor takes over.
 #[derive(Clone, Debug, Default)]
 pub struct Learnt {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -94,6 +94,40 @@
     }
 }
 
+/// Whether settings say what they have to: a proxy that runs takes nothing from others.
+pub fn check(all: &Value) -> Result<(), String> {
+    let positive = |value: &Value| value.as_f64().is_some_and(|x| x.is_finite() && x > 0.0);
+    let mut names: Vec<&str> = Vec::new();
+    if list(all, "classes").is_empty() {
+        return Err("no classes".into());
+    }
+    for class in list(all, "classes") {
+        let name = text(class, "name");
+        if name.is_empty() || names.contains(&name) {
+            return Err(format!("a class named '{name}', without a name or twice"));
+        }
+        names.push(name);
+        for key in ["deadline", "promise", "worth"] {
+            if !positive(&class[key]) {
+                return Err(format!("class '{name}': {key} is no positive number"));
+            }
+        }
+        let known = match text(class, "effect") {
+            "deduplicated" => {
+                matches!(text(class, "dedupScope"), "all" | "zone" | "cell") && positive(&class["window"])
+            }
+            effect => matches!(effect, "idempotent" | "at_most_once"),
+        };
+        if !known {
+            return Err(format!("class '{name}': no such effect"));
+        }
+    }
+    if all["ceilings"]["maxAttempts"].as_u64().is_none_or(|n| n == 0) {
+        return Err("ceilings.maxAttempts is no positive number".into());
+    }
+    Ok(())
+}
+
 /// Reads the settings; what is missing gets the careful default.
 pub fn parse(all: &Value) -> (Settings, Names) {
     let mut names = Names {
--- a/src/state.rs
+++ b/src/state.rs
@@ -138,6 +138,7 @@
     pub key: u64,
     pub home: Option<usize>,
     pub attempts: Vec<Attempt>,
+    pub most: usize, // attempts that it may have
     pub waiting: bool,
     pub done: bool,
     pub started: bool,
@@ -161,6 +162,7 @@
             key,
             home,
             attempts,
+            most: 1,
             waiting,
             done,
             started,
@@ -300,6 +302,7 @@
     pub(crate) subscribed: bool,
     pub(crate) ask_at: Millis,
     pub(crate) overlay: Overlay,
+    pub(crate) safe_traffic: bool, // a class on offer is safe to repeat
 }
 
 impl Balancer {
@@ -351,6 +354,7 @@
             subscribed: false,
             ask_at: 0.0,
             overlay: Overlay::default(),
+            safe_traffic: cfg.classes.iter().any(|c| c.effect == Effect::Safe),
             cfg,
         }
     }
--- a/src/upkeep.rs
+++ b/src/upkeep.rs
@@ -91,6 +91,38 @@
         self.mean = self.mean_latency();
     }
 
+    /// Takes other settings, but for those that need a new start: which proxy this is, and how word reaches it. A class
+    /// with another one's number begins with what was learnt there.
+    pub(crate) fn retune(&mut self, Retuning { settings, from, offered }: Retuning) {
+        fn taken<T: Clone>(old: &mut Vec<T>, from: &[Option<usize>], new: impl Fn(usize) -> T) {
+            let of = |(i, f): (usize, &Option<usize>)| {
+                f.and_then(|f| old.get(f).cloned()).unwrap_or_else(|| new(i))
+            };
+            *old = from.iter().enumerate().map(of).collect();
+        }
+        let classes = &settings.classes;
+        taken(&mut self.class_ms, &from, |i| (classes[i].aim / 4.0, 0.0));
+        taken(&mut self.blocked, &from, |_| 0.0);
+        taken(&mut self.hints, &from, |_| (1.0, 0.0));
+        for s in &mut self.servers {
+            let clean = Health::clean(s.tokens_at);
+            taken(&mut s.by_class, &from, |_| clean.clone());
+        }
+        let mut by_class = self.ambient.split_off(1);
+        taken(&mut by_class, &from, |_| 0.0);
+        self.ambient.append(&mut by_class);
+        // Who waits stays where it is; a class that is new or has taken a free number has nobody waiting.
+        self.queues.resize_with(2 * classes.len(), Default::default);
+        self.allowance.resize(settings.tenants.len(), 1.0);
+        self.longest_aim = classes.iter().map(|c| c.aim).fold(0.0, f64::max);
+        let safe = |(c, on): (&Class, &bool)| *on && c.effect == Effect::Safe;
+        self.safe_traffic = classes.iter().zip(&offered).any(safe);
+        let old = &self.cfg;
+        let (zone, may_tell) = (old.zone, old.may_tell);
+        let (me, proxies, discovery) = (old.me, old.proxies, old.discovery);
+        self.cfg = Settings { me, proxies, zone, discovery, may_tell, ..settings };
+    }
+
     /// Servers in maintenance.
     pub fn maintained(&self) -> Vec<BackendId> {
         self.overlay.banned.keys().copied().collect()
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -216,3 +216,67 @@
     assert!(proxy.wait().success());
     std::fs::remove_dir_all(folder).expect("it is there");
 }
+
+/// The class of this name in a configuration.
+fn class(text: &str, name: &str) -> String {
+    let start = text.find(&format!(r#"{{"name":"{name}""#)).expect("a class");
+    text[start..=start + text[start..].find('}').expect("its end")].to_owned()
+}
+
+#[test]
+fn at_sighup_classes_change_for_new_requests_and_all_counts_stay() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let backend = Backend::with(move |request| match request.id() {
+        "r-held" => Deed::Hold(held.clone(), ok("held")),
+        _ => Deed::Write(ok("")),
+    });
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let proxy = Proxy::up(&discovery, &operated());
+    assert_eq!(status(Client::new(&proxy).ask(&page("r-1"))), 200);
+    assert_eq!(status(Client::new(&proxy).ask(&submit("r-2", "5", "x"))), 200);
+    let mut open = Client::new(&proxy);
+    open.send(&page("r-held"));
+    wait_for("an open request", || backend.seen().len() == 3);
+    // The open one's class goes, another comes first, and one that was keyed is safe to repeat.
+    let text = config(discovery.address, &operated());
+    let (gone, keyed) = (class(&text, "page"), class(&text, "booking"));
+    let text =
+        text.replace(&keyed, &gone.replace("page", "booking")).replace(&gone, &gone.replace("page", "fresh"));
+    proxy.reload(&text);
+    wait_for("the new file", || proxy.figure("/config_reloads") == 1);
+    assert_eq!(status(Client::new(&proxy).ask(&page("r-3"))), 404);
+    for path in ["/fresh", "/booking"] {
+        assert_eq!(status(Client::new(&proxy).ask(&page("r-4").replace("/page", path))), 200, "{path}");
+    }
+    assert_eq!(status(Client::new(&proxy).ask(&submit("r-5", "5", "x"))), 200);
+    gate.open();
+    assert_eq!(open.answer().expect("an answer").text(), "held");
+    wait_for("its end", || proxy.figure("/completed/page") == 2);
+    let counts = ["submit", "fresh", "booking"].map(|c| proxy.figure(&format!("/completed/{c}")));
+    assert_eq!((counts, proxy.figure("/pending")), ([2, 1, 1], 0));
+}
+
+#[test]
+fn a_broken_file_at_sighup_changes_nothing() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let mut proxy = Proxy::up(&discovery, &operated());
+    let text = config(discovery.address, &operated()).replace(r#""name":"page""#, r#""name":"other""#);
+    let broken = [
+        String::new(),
+        text[..text.len() / 2].to_owned(),
+        text.replace(r#""maxAttempts":6"#, r#""maxAttempts":0"#),
+        text.replace(r#""deadline":5000"#, r#""deadline":-5000"#),
+        text.replace(r#""rules""#, r#""rulers""#),
+    ];
+    for (n, text) in broken.iter().enumerate() {
+        proxy.reload(text);
+        wait_for("its refusal", || proxy.figure("/config_reload_errors") == n as u64 + 1);
+        assert_eq!(status(Client::new(&proxy).ask(&page(&format!("r-{n}")))), 200);
+    }
+    assert_eq!(proxy.figure("/config_reloads"), 0);
+    assert!(proxy.runs());
+}
--- a/tests/upkeep.rs
+++ b/tests/upkeep.rs
@@ -129,3 +129,66 @@
         assert_eq!((sends(&next).len(), answers(&next)), if spent { (0, 1) } else { (1, 0) });
     }
 }
+
+/// The settings with another class in place of the first, and the first one's number kept for open requests.
+fn retuned(effect: Effect, max_attempts: u32) -> Event {
+    let mut settings = settings(1);
+    settings.limits.max_attempts = max_attempts;
+    let new = Class { effect, ..settings.classes[0].clone() };
+    settings.classes.push(new);
+    let (from, offered) = (vec![Some(0), Some(1), Some(2), Some(0)], vec![false, true, true, true]);
+    Event::Retune(Box::new(Retuning { settings, from, offered }))
+}
+
+#[test]
+fn open_requests_keep_their_rules_and_new_ones_go_by_the_new() {
+    let mut hand = Hand::new(settings(1), vec![server(1), server(2), server(3)]);
+    let first = |actions: Vec<Action>| sends(&actions).len();
+    assert_eq!(first(hand.give(request(1, 0, 3000.0))), 1);
+    hand.give(retuned(Effect::Unsafe, 1));
+    // Safe to repeat, and more than once, as when it came.
+    assert_eq!(first(hand.give(ended(1, 0, 5.0, Outcome::Reset))), 1);
+    assert_eq!(first(hand.give(ended(1, 1, 5.0, Outcome::Reset))), 1);
+    assert_eq!(first(hand.give(request(2, 3, 3000.0))), 1);
+    let answer = hand.give(ended(2, 0, 5.0, Outcome::Reset));
+    assert!(matches!(answer[..], [Action::Fail(RequestId(2))]), "{answer:?}");
+    // What surely never ran could be repeated, but for the attempts that are allowed now.
+    assert_eq!(first(hand.give(request(3, 3, 3000.0))), 1);
+    let answer = hand.give(ended(3, 0, 5.0, Outcome::ConnectFailed));
+    assert!(matches!(answer[..], [Action::Refuse { request: RequestId(3), .. }]), "{answer:?}");
+}
+
+#[test]
+fn who_waits_survives_a_retuning() {
+    let mut hand = Hand::new(settings(1), vec![server(1)]);
+    let mut sent: Vec<u64> = vec![];
+    for id in 1..30 {
+        sent.extend(sends(&hand.give(request(id, 0, 3000.0))).iter().map(|s| s.0));
+    }
+    assert!(sent.len() < 20, "some wait");
+    sent.extend(sends(&hand.give(retuned(Effect::Safe, 4))).iter().map(|s| s.0));
+    let mut at = 0;
+    while at < sent.len() {
+        sent.extend(sends(&hand.give(ended(sent[at], 0, 5.0, Outcome::Served))).iter().map(|s| s.0));
+        at += 1;
+    }
+    sent.sort_unstable();
+    assert_eq!(sent, (1..30).collect::<Vec<u64>>(), "each is sent once");
+}
+
+#[test]
+fn where_nothing_safe_is_left_a_server_is_tried_with_what_there_is() {
+    let mut hand = Hand::new(settings(1), vec![server(1), server(2)]);
+    hand.give(retuned(Effect::Unsafe, 4));
+    // One fails until it is closed, and is well afterwards.
+    let (mut id, mut back) = (0, false);
+    for _ in 0..400 {
+        id += 1;
+        let Some(&(_, to)) = sends(&hand.give(request(id, 3, 3000.0))).first() else { continue };
+        hand.pass(20.0);
+        let ill = to == 1 && id < 100;
+        back |= to == 1 && id >= 100;
+        hand.give(ended(id, 0, 5.0, if ill { Outcome::Error } else { Outcome::Served }));
+    }
+    assert!(back);
+}
