--- a/src/bin/sandgap/frontend.rs
+++ b/src/bin/sandgap/frontend.rs
@@ -46,7 +46,7 @@
 const WHOLE: Duration = Duration::from_millis(2400);
 /// Bytes of a body that are read before the request is handed on, if there is memory: until then a slow client
 /// holds no backend, and what is whole by then can be sent again.
-const AHEAD: usize = 512 << 10;
+const AHEAD: usize = 128 << 10;
 /// Bytes of a body for which every connection has memory.
 const SMALL: usize = 64 << 10;
 /// Longest span for which a body may come.
--- a/src/bin/sandgap/upstream.rs
+++ b/src/bin/sandgap/upstream.rs
@@ -30,6 +30,8 @@
 use crate::metrics::Metrics;
 use crate::note;
 
+/// Bytes read at once, and of a head at most.
+const BUFFER: usize = 32 << 10;
 /// Bytes up to which an answer is passed on only once it is whole, and may be made good elsewhere until then.
 const BODY: usize = 64 << 10;
 /// A pooled connection is retired after this part of the span after which a backend closes it.
@@ -432,7 +434,7 @@
         let meter = Rc::new(Meter { metrics: Some(self.metrics.clone()), ..Meter::default() });
         let io = Metered { stream: stream.clone(), meter: meter.clone(), _permit: permit };
         let (sender, connection) = http1::Builder::new()
-            .max_buf_size(BODY)
+            .max_buf_size(BUFFER)
             .handshake(TokioIo::new(io))
             .await
             .map_err(io::Error::other)?;
