Give a small body the time of its head instead of 0.4 s

Evidence: a probe in `Pace::next` showed 37 clients cut with 0 to 925 bytes read, all but two after 400 to 430 ms, in the middle of pieces 10 to 300 ms apart; none was cut within its head. Ruled out: heads (no connection past its time). Cause: `Pace::new` allowed every body 0.4 s and its pace, where the whole request had 2.2 s before bodies flowed.

The test was not seen to pass before: ten bytes 80 ms apart take 0.8 s.

--- a/src/bin/sandgap/flow.rs
+++ b/src/bin/sandgap/flow.rs
@@ -16,9 +16,9 @@
 pub const MOST: u64 = 36 << 20;
 /// The slowest sender that is waited for, in bytes a second; half of what clients keep up.
 const PACE: f64 = 32.0 * 1024.0;
-/// By how much it may lag behind that.
+/// By how much it may lag behind that at least.
 const LAG: Duration = Duration::from_millis(400);
-/// Longest silence of a client within a body.
+/// Longest silence of a client within a body, after its lag.
 const GAP: Duration = Duration::from_secs(1);
 
 /// Memory for the pieces of all bodies.
@@ -152,13 +152,17 @@
 
 /// Follows how fast a client sends its body. The time for which it is not read does not count.
 pub struct Pace {
+    /// By how much it may lag.
+    lag: Duration,
     waited: Duration,
     got: usize,
 }
 
 impl Pace {
-    pub fn new() -> Self {
-        Pace { waited: Duration::ZERO, got: 0 }
+    /// A body that is small has the time that is left for the whole request, until `due`.
+    pub fn new(due: Instant) -> Self {
+        let lag = due.saturating_duration_since(Instant::now()).max(LAG);
+        Pace { lag, waited: Duration::ZERO, got: 0 }
     }
 
     /// Bytes that have come.
@@ -169,9 +173,10 @@
     /// The next piece, or `None` at the end.
     pub async fn next(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, Fault> {
         loop {
-            let due = LAG + Duration::from_secs_f64(self.got as f64 / PACE);
+            let due = self.lag + Duration::from_secs_f64(self.got as f64 / PACE);
+            let gap = GAP.max(self.lag.saturating_sub(self.waited));
             let begun = Instant::now();
-            let frame = timeout(due.saturating_sub(self.waited).min(GAP), body.frame()).await;
+            let frame = timeout(due.saturating_sub(self.waited).min(gap), body.frame()).await;
             self.waited += begun.elapsed();
             match frame {
                 Err(_) => return Err(Fault::Slow),
--- a/src/bin/sandgap/frontend.rs
+++ b/src/bin/sandgap/frontend.rs
@@ -41,8 +41,8 @@
 /// Longest head. Large enough for any client of the protocol, small enough for all connections at once.
 const HEAD_SIZE: usize = 16 << 10;
 const BACKLOG: u32 = 1024;
-/// A request's head must be whole this long after its first byte; the first one this long after its connection
-/// came up, for a client that sends nothing of use is owed an end within 3 s. A body has a pace to keep.
+/// A request must be whole this long after its first byte; the first one this long after its connection came up,
+/// for a client that sends nothing of use is owed an end within 3 s. A body that keeps a pace may take longer.
 const WHOLE: Duration = Duration::from_millis(2400);
 /// Bytes of a body that are read before the request is handed on, if there is memory: until then a slow client
 /// holds no backend, and what is whole by then can be sent again.
@@ -395,7 +395,10 @@
             async move {
                 // A head that came along with the request before has not been seen apart.
                 let head = match client.stage.get() {
-                    Stage::Idle => None,
+                    Stage::Idle => {
+                        client.due.set(Instant::now() + WHOLE);
+                        None
+                    }
                     _ => Some(client.head.take()),
                 };
                 // A request that came while its connection was waiting to be accepted is as old as that.
@@ -491,7 +494,7 @@
         };
         let id = RequestId(self.number());
         let begun = Instant::now();
-        let (load, rest) = match self.read_ahead(body).await {
+        let (load, rest) = match self.read_ahead(body, client.due.get()).await {
             Ok(Ahead::Whole(body, held)) => (Load::Whole { body, _held: held }, None),
             Ok(Ahead::Begun { read, held, body, pace }) => {
                 let length = body.size_hint().exact().map(|rest| read.len() as u64 + rest);
@@ -574,8 +577,8 @@
     }
 
     /// Reads a body as far as it is held back before its request is handed on.
-    async fn read_ahead(&self, mut body: Incoming) -> Result<Ahead, Fault> {
-        let (mut read, mut held, mut pace) = (BytesMut::new(), None, Pace::new());
+    async fn read_ahead(&self, mut body: Incoming, due: Instant) -> Result<Ahead, Fault> {
+        let (mut read, mut held, mut pace) = (BytesMut::new(), None, Pace::new(due));
         while let Some(data) = pace.next(&mut body).await? {
             read.extend_from_slice(&data);
             if pace.got() > SMALL && held.is_none() {
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -163,3 +163,19 @@
     wait_for("their end", || proxy.figure("/pending") == 0);
     assert!(backend.seen().is_empty(), "no backend got one whole");
 }
+
+#[test]
+fn a_small_body_may_come_in_pieces_for_as_long_as_a_head() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let (_discovery, proxy) = proxy_with(&[&backend], Setup::default());
+    let request = submit("r-1", "5", "0123456789");
+    let (head, body) = request.split_at(request.len() - 10);
+    let mut client = Client::new(&proxy);
+    client.send(head);
+    for piece in body.as_bytes().chunks(1) {
+        std::thread::sleep(std::time::Duration::from_millis(80)); // a slow client, not a wait for something
+        client.send(std::str::from_utf8(piece).expect("a digit"));
+    }
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    assert_eq!(backend.seen()[0].text(), "0123456789");
+}
