Tell the others when a proxy sends its clients elsewhere, and lend them its slots meanwhile

Cause: `Balancer::owned` gives the slots of n1's zone to n1 whoever has the clients, and n0 borrows them only by lot; `demand` and `chance` judge the fleet by proxies that have none.

A bit of the message tells that a proxy leaves, after an operator's drain or at SIGTERM without a successor. Its slots are hashed to the others until it takes that back or is silent for `STALE`. Silence alone says nothing: in a split each would claim all. The version of the message stays, as an older proxy only reads the sender's holds as blames meanwhile.

--- a/src/bin/sandgap/driver.rs
+++ b/src/bin/sandgap/driver.rs
@@ -47,6 +47,8 @@
     Request(Box<Arrival>),
     /// Its client has left.
     Gone(RequestId),
+    /// The process ends, and no other takes its clients.
+    Leaving,
     /// Other settings.
     Retune(Box<(Retuning, Connections)>),
     /// The last byte of a body that is sent on while it comes has been taken.
@@ -263,7 +265,7 @@
     fn obey(&mut self, Command { order, done }: Command) {
         let yes = match order {
             Order::Drain(drain) => {
-                self.parts.drained.set(drain);
+                self.drain(drain);
                 self.hand_on(|left| left.drained = drain)
             }
             Order::Maintain(host) => self.maintain(&host, true),
@@ -272,6 +274,12 @@
         let _ = done.send(yes); // a caller that has left needs no answer
     }
 
+    fn drain(&mut self, drained: bool) {
+        if self.parts.drained.replace(drained) != drained {
+            self.handle(Event::Leaving(drained));
+        }
+    }
+
     /// Takes a backend out of use or puts it back; no if it has never been listed.
     fn maintain(&mut self, host: &str, banned: bool) -> bool {
         let id = BackendId(number_of(host));
@@ -341,7 +349,7 @@
 
     /// What the other process was ordered holds here too.
     fn follow(&mut self, left: &Left) {
-        self.parts.drained.set(left.drained);
+        self.drain(left.drained);
         left.listed.iter().for_each(|id| self.listed.add(BackendId(*id)));
         let held = self.balancer.maintained();
         let lifted = held.iter().filter(|id| !left.bans.contains(&id.0));
@@ -407,6 +415,7 @@
                 self.parts.upstreams.retune(&connections);
                 self.handle(Event::Retune(Box::new(retuning)));
             }
+            Input::Leaving => self.handle(Event::Leaving(true)),
             Input::Uploaded(id) => self.uploaded(id),
             Input::Ended { request, attempt, latency, outcome, reply } => {
                 self.ended(request, attempt, latency, outcome, reply);
--- a/src/bin/sandgap/frontend.rs
+++ b/src/bin/sandgap/frontend.rs
@@ -235,6 +235,7 @@
             self.close_all(Stage::Idle);
             self.close_all(Stage::Silent);
         } else {
+            self.inbox.put(Input::Leaving);
             self.accept_last(listener).await;
         }
         let longest = self.classes.borrow().longest();
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -106,6 +106,7 @@
             }
             Event::Upload { request, stage } => self.upload(now, request, stage),
             Event::Retune(to) => self.retune(*to),
+            Event::Leaving(leaving) => self.overlay.leaving = leaving,
             Event::Twin(twin) => self.overlay.twin = twin,
             Event::Maintenance { backend, banned } => self.maintain(now, backend, banned),
             Event::Abandoned(id) => self.finish(id),
@@ -273,7 +274,7 @@
                 return Some(h);
             }
             // The home's slots are the faster ones, and those who wait for it over all proxies the queue.
-            let n = f64::from(self.cfg.proxies);
+            let n = self.staying();
             let rho = self.rate * n * s.info.rating / self.rating * self.mean / (s.room * warm);
             let tau = threshold(s.room, rho, warm / band.speed);
             let go = urgent || f64::from(s.wanted) * n > f64::from(tau);
@@ -405,7 +406,7 @@
     /// What all proxies want of it in an epoch for keys at home there, judged by this one's part. Those
     /// that wait here for it alone are too few to judge by: one of them would pass for one at each proxy.
     fn demand(&self, k: usize) -> f64 {
-        let part = f64::from(self.cfg.proxies) * self.servers[k].info.rating / self.rating;
+        let part = self.staying() * self.servers[k].info.rating / self.rating;
         part * (EPOCH * self.rate + self.crowd)
     }
 
@@ -415,7 +416,7 @@
         let blind = self.blindness();
         let seen = self.servers[k].room * self.servers[k].warmth - held;
         let lacks = EPOCH * self.lacks(k, held) / self.crowd.max(CROWD_LEAST);
-        ((1.0 - blind) * seen + blind * lacks) / f64::from(self.cfg.proxies)
+        ((1.0 - blind) * seen + blind * lacks) / self.staying()
     }
 
     /// Whether a request is among those of its epoch that its home has room for: the most valuable part of
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -312,6 +312,8 @@
         /// Whether nothing more may go there.
         banned: bool,
     },
+    /// This proxy sends its clients elsewhere, or takes them again.
+    Leaving(bool),
     /// Other settings. Those that need a new start stay as they were.
     Retune(Box<Retuning>),
     /// Another process begins or ceases to share this proxy's part of everything, during an upgrade.
--- a/src/message.rs
+++ b/src/message.rs
@@ -5,6 +5,7 @@
 use rustc_hash::FxHashMap;
 
 const VERSION: u8 = 1;
+const LEAVING: u8 = 0x80; // in the count of blames: the sender sends its clients elsewhere
 pub(crate) const HEAD: usize = 3; // bytes of a message before its servers
 pub(crate) const MESSAGE: usize = 256; // bytes of a full message
 
@@ -13,10 +14,11 @@
     pub heard: Millis,
     pub holds: Vec<(usize, usize)>, // servers, and whether it crosses zones to them
     pub blames: Vec<usize>,
+    pub leaving: bool, // its clients go elsewhere
 }
 
 /// Packs what this proxy holds and blames; servers are named by 16 bits of their hash.
-pub(crate) fn pack(zone: Option<ZoneId>, servers: &[Server], now: Millis) -> Vec<u8> {
+pub(crate) fn pack(zone: Option<ZoneId>, leaving: bool, servers: &[Server], now: Millis) -> Vec<u8> {
     let name = |s: &Server| short(s.info.id).to_le_bytes();
     let mut bytes = vec![VERSION, zone.map_or(u8::MAX, |z| z.0 as u8), 0];
     for s in servers.iter().filter(|s| s.health.closed > now && s.told.is_none()).take(30) {
@@ -28,6 +30,7 @@
             bytes.extend(name(s));
         }
     }
+    bytes[2] |= if leaving { LEAVING } else { 0 };
     bytes
 }
 
@@ -42,7 +45,7 @@
     let (mut blames, mut holds) = (Vec::new(), Vec::new());
     for (i, pair) in bytes[HEAD..].chunks_exact(2).enumerate() {
         if let Some(&k) = names.get(&u16::from_le_bytes([pair[0], pair[1]])) {
-            if i < usize::from(bytes[2]) { blames.push(k) } else { holds.push(k) }
+            if i < usize::from(bytes[2] & !LEAVING) { blames.push(k) } else { holds.push(k) }
         }
     }
     Some((zone, blames, holds))
@@ -67,7 +70,8 @@
             self.place(k, now);
         }
         self.zones[from] = zone;
-        self.peers[from] = Some(Peer { heard: now, holds, blames });
+        let leaving = bytes[2] & LEAVING != 0;
+        self.peers[from] = Some(Peer { heard: now, holds, blames, leaving });
     }
 
     /// Takes back what a peer told before; returns the servers where it held something.
@@ -85,7 +89,7 @@
         if self.cfg.may_tell && self.cfg.proxies > 1 && due {
             self.news += 0.1 * (now - self.told_at - self.news); // others tell about as often
             (self.credit, self.told_at) = (self.credit - cost, now);
-            out.push(Action::Broadcast(pack(self.cfg.zone, &self.servers, now)));
+            out.push(Action::Broadcast(pack(self.cfg.zone, self.overlay.leaving, &self.servers, now)));
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -421,7 +421,10 @@
     /// server's zone, or among all where there is none, by a hash that all of them share.
     pub(crate) fn owned(&self, k: usize, slots: u32) -> u32 {
         let info = &self.servers[k].info;
-        let near = |i: &u32| self.zones[*i as usize].is_none() || self.zones[*i as usize] == info.zone;
+        let near = |i: &u32| {
+            let zone = self.zones[*i as usize];
+            (zone.is_none() || zone == info.zone) && !self.leaves(*i)
+        };
         let any = (0..self.cfg.proxies).any(|i| near(&i));
         let score = |slot: u32, i: u32| draw(info.id.0 ^ u64::from(slot), u64::from(i));
         let owner = |slot: &u32| {
--- a/src/upkeep.rs
+++ b/src/upkeep.rs
@@ -13,6 +13,8 @@
     back: FxHashMap<BackendId, (Millis, Millis)>,
     /// Another process shares this proxy's part.
     pub twin: bool,
+    /// Clients are sent elsewhere.
+    pub leaving: bool,
 }
 
 impl Overlay {
@@ -56,6 +58,21 @@
         if self.overlay.twin { 0.5 } else { 1.0 }
     }
 
+    /// Whether a proxy has told of late that it sends its clients elsewhere: its slots are the others' meanwhile.
+    /// One that is merely silent keeps them, as it may serve its clients all the same.
+    pub(crate) fn leaves(&self, proxy: u32) -> bool {
+        match proxy == self.cfg.me {
+            true => self.overlay.leaving,
+            false => self.peers[proxy as usize].as_ref().is_some_and(|p| p.leaving),
+        }
+    }
+
+    /// Proxies whose clients stay with them, among which this one's part is judged.
+    pub(crate) fn staying(&self) -> f64 {
+        let left = (0..self.cfg.proxies).filter(|&i| self.leaves(i)).count() as f64;
+        (f64::from(self.cfg.proxies) - left).max(1.0)
+    }
+
     /// What a successor takes over.
     pub fn learnt(&self) -> Learnt {
         let listed = self.servers.iter().filter(|s| s.told.is_none());
--- a/tests/upkeep.rs
+++ b/tests/upkeep.rs
@@ -192,3 +192,33 @@
     }
     assert!(back);
 }
+
+/// What a proxy tells the others while it leaves or stays.
+fn word(leaving: bool) -> Vec<u8> {
+    let mut tells = settings(2);
+    (tells.may_tell, tells.me) = (true, 1);
+    let mut hand = Hand::new(tells, vec![server(1)]);
+    hand.give(Event::Leaving(leaving));
+    let mut told = hand.pass(2000.0).into_iter().filter_map(|a| match a {
+        Action::Broadcast(bytes) => Some(bytes),
+        _ => None,
+    });
+    told.next_back().expect("a word")
+}
+
+#[test]
+fn the_slots_of_a_proxy_that_leaves_are_the_others() {
+    // Safe requests that are out at once, of thirty that come while the other proxies hold nothing.
+    let out = |leaving: bool| {
+        let mut hears = settings(4);
+        hears.may_tell = true;
+        let mut hand = Hand::new(hears, (1..7).map(server).collect());
+        for _ in 0..20 {
+            (1..4).for_each(|from| drop(hand.give(Event::Message { from, bytes: word(leaving) })));
+            hand.pass(100.0);
+        }
+        (1..31).map(|id| sends(&hand.give(request(id, 0, 3000.0))).len()).sum::<usize>()
+    };
+    let (stays, leaves) = (out(false), out(true));
+    assert!(leaves > stays, "{leaves} against {stays}");
+}
