--- a/src/message.rs
+++ b/src/message.rs
@@ -71,12 +71,14 @@
         }
         self.zones[from] = zone;
         let leaving = bytes[2] & LEAVING != 0;
+        self.overlay.left += u32::from(leaving);
         self.peers[from] = Some(Peer { heard: now, holds, blames, leaving });
     }
 
     /// Takes back what a peer told before; returns the servers where it held something.
     pub(crate) fn unhear(&mut self, from: usize) -> Vec<(usize, usize)> {
         let Some(p) = self.peers[from].take() else { return Vec::new() };
+        self.overlay.left -= u32::from(p.leaving);
         p.blames.iter().for_each(|&k| self.servers[k].blame -= 1);
         p.holds.iter().for_each(|&(k, way)| self.servers[k].peers[way] -= 1);
         p.holds
--- a/src/upkeep.rs
+++ b/src/upkeep.rs
@@ -15,6 +15,8 @@
     pub twin: bool,
     /// Clients are sent elsewhere.
     pub leaving: bool,
+    /// Other proxies that do so, as told by them.
+    pub left: u32,
 }
 
 impl Overlay {
@@ -69,8 +71,8 @@
 
     /// Proxies whose clients stay with them, among which this one's part is judged.
     pub(crate) fn staying(&self) -> f64 {
-        let left = (0..self.cfg.proxies).filter(|&i| self.leaves(i)).count() as f64;
-        (f64::from(self.cfg.proxies) - left).max(1.0)
+        let left = self.overlay.left + u32::from(self.overlay.leaving);
+        f64::from(self.cfg.proxies.saturating_sub(left).max(1))
     }
 
     /// What a successor takes over.
