One workspace: core, proxy, wire and cli under the product's name

Cause: one package held the library, the proxy and the adapter as features, under two names of which neither was the product's, and any file could import any other.

No decision is touched. Tests run in the development profile.

--- a/check.sh
+++ b/check.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 cargo fmt --all -- --check
-cargo clippy --locked --all-targets --all-features -- -D warnings
-cargo clippy --locked --lib --no-default-features -- -D warnings
-cargo test --locked --release
-RUSTDOCFLAGS="-D warnings" cargo doc --locked --no-deps
+cargo clippy --locked --workspace --all-targets --all-features -- -D warnings
+cargo clippy --locked -p leadrelay-core --no-default-features -- -D warnings
+cargo test --locked --workspace
+RUSTDOCFLAGS="-D warnings" cargo doc --locked --workspace --no-deps
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,7 @@
+//! The program that users meet.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    leadrelay_proxy::main()
+}
--- a/tests/operations.rs
+++ b/crates/cli/tests/operations.rs
@@ -209,7 +209,7 @@
     discovery.say(&all_up(&[&backend]));
     let passed = platform("alone");
     let folder = passed.1.clone();
-    std::fs::write(folder.join("sandgap-n0.json"), "{\"version\":").expect("a file");
+    std::fs::write(folder.join("leadrelay-n0.json"), "{\"version\":").expect("a file");
     let mut proxy = Proxy::up(&discovery, &Setup { passed: Some(passed), ..operated() });
     proxy.terminate();
     assert_eq!(status(Client::new(&proxy).ask(&page("r-1"))), 200);
--- a/tests/sockets/mod.rs
+++ b/crates/cli/tests/sockets/mod.rs
@@ -361,7 +361,7 @@
 /// Writes a configuration where the process finds it.
 pub fn config_file(text: &str) -> std::path::PathBuf {
     let number = COUNT.fetch_add(1, Ordering::SeqCst);
-    let file = std::env::temp_dir().join(format!("sandgap-{}-{number}.json", std::process::id()));
+    let file = std::env::temp_dir().join(format!("leadrelay-{}-{number}.json", std::process::id()));
     std::fs::write(&file, text).expect("a file");
     file
 }
@@ -369,7 +369,7 @@
 impl Proxy {
     pub fn start(discovery: &Discovery, setup: &Setup) -> Self {
         let file = config_file(&config(discovery.address, setup));
-        let program = env!("CARGO_BIN_EXE_sandgap");
+        let program = env!("CARGO_BIN_EXE_leadrelay");
         let mut command = match setup.descriptors {
             // Descriptor 3 as the platform passes it: through the shell, the only way without system calls.
             _ if setup.passed.is_some() => {
--- a/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -1,7 +1,7 @@
 //! Every decision of one proxy, in the order in which a request meets them: queue and threshold; speeds
 //! and slots; health; attempts, time-outs, final answers; cold starts and drains; discovery and peers.
 //!
-//! Types, settings, events and actions: `src/interface.rs`. Records and plumbing: `src/state.rs`. Mechanism
+//! Types, settings, events and actions: `interface.rs`. Records and plumbing: `state.rs`. Mechanism
 //! and extensions: `docs/design.md`; formula numbers are those of the paper named there. Times are in ms.
 use crate::interface::*;
 use crate::message::MESSAGE;
--- a/tests/choice.rs
+++ b/crates/core/tests/choice.rs
@@ -1,7 +1,7 @@
 //! One test for each failure found on the bench, none of which needs it.
 mod common;
 use common::*;
-use wharfhitch::*;
+use leadrelay_core::*;
 
 fn refusals(actions: &[Action]) -> usize {
     actions.iter().filter(|a| matches!(a, Action::Refuse { .. } | Action::Fail(_))).count()
--- a/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Settings for tests, a checker of the four rules, and a small world that drives a Balancer.
 #![allow(dead_code)] // each test file uses its own part
+use leadrelay_core::*;
 use std::collections::{BTreeMap, HashMap};
-use wharfhitch::*;
 
 pub fn class(effect: Effect, aim: Millis) -> Class {
     Class { aim, deadline: 2.5 * aim, aim_stretch: 0.0, worth: 1.0, late_worth: 0.0, effect }
--- a/tests/limits.rs
+++ b/crates/core/tests/limits.rs
@@ -14,7 +14,7 @@
 #[test]
 fn the_interface_is_named_at_the_top() {
     let head: String = MODULE.lines().take(8).collect();
-    assert!(head.contains("src/interface.rs"));
+    assert!(head.contains("interface.rs"));
 }
 
 #[test]
--- a/tests/properties.rs
+++ b/crates/core/tests/properties.rs
@@ -1,7 +1,7 @@
 //! The four rules over seeded random but legal event streams, watched by an independent checker.
 mod common;
 use common::*;
-use wharfhitch::*;
+use leadrelay_core::*;
 
 enum Due {
     Timer(u64),
--- a/tests/threshold.rs
+++ b/crates/core/tests/threshold.rs
@@ -1,5 +1,5 @@
 //! The threshold against the delay formulas of the paper, computed another way.
-use wharfhitch::threshold;
+use leadrelay_core::threshold;
 
 /// D_τ of (3.1) and (3.2) with μ_slow = 1 and μ_fast = R, from the M/M/m/K state probabilities.
 fn delay(m: u32, rho: f64, ratio: f64, tau: u32) -> f64 {
--- a/tests/upkeep.rs
+++ b/crates/core/tests/upkeep.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use common::*;
-use wharfhitch::*;
+use leadrelay_core::*;
 
 fn maintenance(id: u64, banned: bool) -> Event {
     Event::Maintenance { backend: BackendId(id), banned }
--- a/src/bin/sandgap/classes.rs
+++ b/crates/proxy/src/classes.rs
@@ -3,8 +3,8 @@
 
 use std::rc::Rc;
 
-use wharfhitch::settings::Names;
-use wharfhitch::{Class, ClassId, Retuning, Settings};
+use leadrelay_core::settings::Names;
+use leadrelay_core::{Class, ClassId, Retuning, Settings};
 
 /// Places at most, whatever the files of many years name.
 const MOST: usize = 256;
@@ -109,7 +109,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use wharfhitch::settings;
+    use leadrelay_core::settings;
 
     fn parsed(classes: &[(&str, f64)]) -> (Settings, Names) {
         let classes: Vec<_> = classes
--- a/src/bin/sandgap/config.rs
+++ b/crates/proxy/src/config.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use leadrelay_core::Settings;
+use leadrelay_core::settings::{self, Connections, Names, number_of};
 use serde::Deserialize;
 use serde_json::Value;
-use wharfhitch::Settings;
-use wharfhitch::settings::{self, Connections, Names, number_of};
 
 /// Part of the descriptors that requests may hold. Clients use a third at most; what the module gives up a
 /// little before that leaves room to hear of better requests.
--- a/src/bin/sandgap/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -10,13 +10,13 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use leadrelay_core::Scope;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
-use wharfhitch::Scope;
 
 use crate::driver::{Inbox, Input};
 use crate::note;
--- a/src/bin/sandgap/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -9,14 +9,14 @@
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use rustc_hash::{FxHashMap, FxHashSet};
-use tokio::sync::{Notify, mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep_until};
-use wharfhitch::settings::{Connections, Names, index_of, number_of};
-use wharfhitch::{
+use leadrelay_core::settings::{Connections, Names, index_of, number_of};
+use leadrelay_core::{
     Action, Backend, BackendId, Balancer, CellId, ClassId, Event, Key, KindId, Learnt, Millis, Outcome,
     RequestId, Retuning, Scope, State, TenantId, Upload, ZoneId,
 };
+use rustc_hash::{FxHashMap, FxHashSet};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep_until};
 
 use crate::admin::{Command, Order};
 use crate::classes::{Classes, Hold};
--- a/src/bin/sandgap/frontend.rs
+++ b/crates/proxy/src/frontend.rs
@@ -20,13 +20,13 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use leadrelay_core::settings::number_of;
+use leadrelay_core::{Effect, Key, RequestId, TenantId};
 use rustc_hash::FxHashSet;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
-use wharfhitch::settings::number_of;
-use wharfhitch::{Effect, Key, RequestId, TenantId};
 
 use crate::classes::{Classes, Lane};
 use crate::driver::{Answer, Arrival, Inbox, Input};
--- a/src/bin/sandgap/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -11,8 +11,8 @@
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 
+use leadrelay_core::Mean;
 use serde::{Deserialize, Serialize};
-use wharfhitch::Mean;
 
 use crate::discovery::Host;
 use crate::note;
@@ -77,8 +77,8 @@
     pub fn open(folder: &Path, name: &str) -> io::Result<(Self, Option<State>)> {
         let name: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '-' }).collect();
         let handover = Handover {
-            file: folder.join(format!("sandgap-{name}.json")),
-            lock: File::create(folder.join(format!("sandgap-{name}.lock")))?,
+            file: folder.join(format!("leadrelay-{name}.json")),
+            lock: File::create(folder.join(format!("leadrelay-{name}.lock")))?,
             stage: Cell::new(Stage::Starting),
             seen: Cell::new(None),
             twin: Cell::new(false),
--- a/src/bin/sandgap/main.rs
+++ b/crates/proxy/src/lib.rs
@@ -21,11 +21,11 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
 
+use leadrelay_core::{Balancer, Scope};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
-use wharfhitch::{Balancer, Scope};
 
 use classes::Classes;
 use config::Config;
@@ -155,7 +155,7 @@
         drained: drained.clone(),
         handover: handover.clone(),
     };
-    let pushed = config.settings.discovery == wharfhitch::Discovery::Pushed;
+    let pushed = config.settings.discovery == leadrelay_core::Discovery::Pushed;
     let balancer = Balancer::new(config.settings, config.seed);
     let mut driver = Driver::new(balancer, config.names, parts);
     if left.as_ref().is_none_or(|left| left.hosts.is_empty()) {
@@ -203,7 +203,8 @@
     outcome
 }
 
-fn main() -> ExitCode {
+/// Runs a proxy by `NODE_CONFIG` until it is told to stop.
+pub fn main() -> ExitCode {
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
--- a/src/bin/sandgap/log.rs
+++ b/crates/proxy/src/log.rs
@@ -5,7 +5,7 @@
 use std::io::Write as _;
 use std::time::{Duration, Instant};
 
-use wharfhitch::Outcome;
+use leadrelay_core::Outcome;
 
 const BURST: u32 = 20; // lines in a second; the rest are counted and left out
 
@@ -34,7 +34,7 @@
 
 /// Writes a line. Unlike `eprintln!` it survives a log that nobody reads any more.
 fn write(text: Arguments) {
-    let _ = writeln!(std::io::stderr(), "sandgap: {text}");
+    let _ = writeln!(std::io::stderr(), "leadrelay: {text}");
 }
 
 /// Logs a formatted line, rate-limited.
--- a/src/bin/sandgap/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -18,13 +18,13 @@
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
+use leadrelay_core::Outcome;
+use leadrelay_core::settings::Connections;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
-use wharfhitch::Outcome;
-use wharfhitch::settings::Connections;
 
 use crate::flow::{Flow, Held, MOST, Memory, Part, Source};
 use crate::metrics::Metrics;
--- a/src/bin/wharfhitch-wirehost/main.rs
+++ b/crates/wire/src/main.rs
@@ -1,4 +1,4 @@
-//! The adapter between the operators' simulator wire and one [`wharfhitch::Balancer`] per proxy.
+//! The adapter between the operators' simulator wire and one [`leadrelay_core::Balancer`] per proxy.
 //!
 //! It translates and decides nothing. Instances share nothing.
 
@@ -88,7 +88,7 @@
     match run(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
-            eprintln!("wharfhitch-wirehost: {text}");
+            eprintln!("leadrelay-wire: {text}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/wharfhitch-wirehost/wire.rs
+++ b/crates/wire/src/wire.rs
@@ -5,13 +5,13 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
-use rustc_hash::FxHashMap;
-use wharfhitch::{
+use leadrelay_core::{
     Action, Backend, BackendId, Balancer, CellId, ClassId, Event, Key, KindId, Outcome, RequestId, Scope,
     State, TenantId, ZoneId,
 };
+use rustc_hash::FxHashMap;
 
-use wharfhitch::settings::{self, Names, index_of, number_of};
+use leadrelay_core::settings::{self, Names, index_of, number_of};
 
 /// Whether this version reads messages of that name.
 pub fn known(name: &str) -> bool {
--- a/tests/adapter.rs
+++ b/crates/wire/tests/adapter.rs
@@ -3,7 +3,7 @@
 use std::process::{Command, Stdio};
 
 fn wirehost(input: &str) -> (bool, String, String) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_wharfhitch-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_leadrelay-wire"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
