Core: a file for each concern in place of choice.rs, and no circle of imports

Cause: choice.rs held queue, threshold, slots, health, attempts, cold starts, discovery and peers in 709 lines, and imported state, message and upkeep in a circle.

Change: policy/ has a file for each with its constants; records, bands, estimates, numbers, the overlay and the messages' form lie under them; balancer.rs routes events.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,15 +12,22 @@
 //! assert!(threshold(2.0, 0.1, 3.0) >= 2);
 //! ```
 
-mod choice;
+mod balancer;
+mod bands;
+mod estimates;
+mod handover;
 pub mod interface;
 mod listing;
 mod message;
+mod number;
+mod operators;
+mod overlay;
+mod policy;
+mod records;
 #[cfg(feature = "settings")]
 pub mod settings;
 mod state;
-mod upkeep;
 
-pub use choice::threshold;
 pub use interface::*;
+pub use policy::threshold::threshold;
 pub use state::Balancer;
--- a/crates/core/src/listing.rs
+++ b/crates/core/src/listing.rs
@@ -1,7 +1,8 @@
 //! The records of the server list. Nothing is decided here.
 use crate::interface::*;
 use crate::message::short;
-use crate::state::*;
+use crate::records::{Kind, Server};
+use crate::state::Balancer;
 
 impl Balancer {
     /// Places for servers, vacant ones included.
--- /dev/null
+++ b/crates/core/src/operators.rs
@@ -0,0 +1,70 @@
+//! What operators do to a proxy that runs, as far as it concerns its decisions. Times are in ms.
+use crate::interface::*;
+use crate::records::Health;
+use crate::state::Balancer;
+
+impl Balancer {
+    /// Takes a server out of use or puts it back, however often that is said.
+    pub(crate) fn maintain(&mut self, now: Millis, id: BackendId, banned: bool) {
+        if banned {
+            self.overlay.banned.entry(id).or_insert(now);
+        } else if let Some(away) = self.overlay.banned.remove(&id) {
+            self.overlay.back.retain(|_, (_, back)| now - *back < self.cfg.limits.cold); // others are warm
+            self.overlay.back.insert(id, (away, now));
+        } else {
+            return; // it is in use
+        }
+        if let Some(&k) = self.index.get(&id) {
+            let known = self.servers[k].info.clone();
+            self.list(now, Scope::Delta, vec![known]);
+        }
+    }
+
+    /// Takes other settings, but for those that need a new start: which proxy this is, and how word reaches it. A class
+    /// with another one's number begins with what was learnt there.
+    pub(crate) fn retune(&mut self, Retuning { settings, from, offered }: Retuning) {
+        fn taken<T: Clone>(old: &mut Vec<T>, from: &[Option<usize>], new: impl Fn(usize) -> T) {
+            let of = |(i, f): (usize, &Option<usize>)| {
+                f.and_then(|f| old.get(f).cloned()).unwrap_or_else(|| new(i))
+            };
+            *old = from.iter().enumerate().map(of).collect();
+        }
+        let classes = &settings.classes;
+        taken(&mut self.class_ms, &from, |i| (classes[i].aim / 4.0, 0.0));
+        taken(&mut self.blocked, &from, |_| 0.0);
+        taken(&mut self.hints, &from, |_| (1.0, 0.0));
+        for s in &mut self.servers {
+            let clean = Health::clean(s.tokens_at);
+            taken(&mut s.by_class, &from, |_| clean.clone());
+        }
+        let mut by_class = self.ambient.split_off(1);
+        taken(&mut by_class, &from, |_| 0.0);
+        self.ambient.append(&mut by_class);
+        // Who waits stays where it is; a class that is new or has taken a free number has nobody waiting.
+        self.queues.resize_with(2 * classes.len(), Default::default);
+        self.allowance.resize(settings.tenants.len(), 1.0);
+        self.longest_aim = classes.iter().map(|c| c.aim).fold(0.0, f64::max);
+        let safe = |(c, on): (&Class, &bool)| *on && c.effect == Effect::Safe;
+        self.safe_traffic = classes.iter().zip(&offered).any(safe);
+        let old = &self.cfg;
+        let (zone, may_tell) = (old.zone, old.may_tell);
+        let (me, proxies, discovery) = (old.me, old.proxies, old.discovery);
+        self.cfg = Settings { me, proxies, zone, discovery, may_tell, ..settings };
+    }
+
+    /// Servers in maintenance.
+    pub fn maintained(&self) -> Vec<BackendId> {
+        self.overlay.banned.keys().copied().collect()
+    }
+
+    /// Whether an operator has taken a server out of use.
+    pub fn in_maintenance(&self, id: BackendId) -> bool {
+        self.overlay.is_banned(id)
+    }
+
+    /// Listed servers, and those of them that get nothing at present.
+    pub fn members(&self, now: Millis) -> (usize, usize) {
+        let listed = || self.servers.iter().filter(|s| s.info.state != State::Gone);
+        (listed().count(), listed().filter(|s| !self.usable(s, now)).count())
+    }
+}
