Proxy: inbox, hosts and open ids under the parts that use them; no circle left

Cause: driver, discovery, frontend, handover and peers imported one another: Input, Inbox, Arrival and Answer lay in the driver, Host in discovery, OpenId in the frontend.

Change: each has a file of its own under those parts. Nothing else is touched.

Seen: the drawing of imports has 0 circles where it had one of five files; all tests pass.

--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -11,14 +11,15 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use leadrelay_core::Scope;
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
-use crate::driver::{Inbox, Input};
+use crate::host::Host;
+use crate::inbox::{Inbox, Input};
 use crate::note;
 
 /// A watch sends an empty line every 2 s. One that is silent for longer may hang on a dead machine, and what
@@ -28,46 +29,6 @@
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 const MOST: usize = 4 << 20; // bytes of a line
 
-/// One line of the list.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Host {
-    pub host: String,
-    /// Where it is reached; `None` if that can't be read.
-    pub dial: Option<SocketAddr>,
-    pub site: Option<String>,
-    pub class: Option<String>,
-    pub block: Option<u64>,
-    pub health: String,
-    pub share: Option<f64>,
-    /// Unix time in milliseconds; 0 for long ago.
-    pub born_ms: f64,
-}
-
-impl Host {
-    /// Reads what can be read: one odd entry must not hide what the rest of the list says.
-    fn read(entry: &Value) -> Option<Self> {
-        let text = |key: &str| entry[key].as_str().map(str::to_owned);
-        let Some(host) = text("host") else {
-            note!("discovery: an entry without a name");
-            return None;
-        };
-        let dial = entry["dial"].as_str().and_then(|d| d.parse().ok());
-        if dial.is_none() && entry["health"] != "removed" {
-            note!("discovery: {host} has no address");
-        }
-        Some(Host {
-            host,
-            dial,
-            site: text("site"),
-            class: text("class"),
-            block: entry["block"].as_u64(),
-            health: text("health").unwrap_or_default(),
-            share: entry["share"].as_f64(),
-            born_ms: entry["born_ms"].as_f64().unwrap_or(0.0),
-        })
-    }
-}
-
 /// The whole list or what has changed.
 #[derive(Debug, Deserialize)]
 struct List {
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -9,10 +9,10 @@
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use leadrelay_core::settings::{Connections, Names, index_of, number_of};
+use leadrelay_core::settings::{Names, index_of, number_of};
 use leadrelay_core::{
-    Action, Backend, BackendId, Balancer, CellId, ClassId, Event, Key, KindId, Learnt, Millis, Outcome,
-    RequestId, Retuning, Scope, State, TenantId, Upload, ZoneId,
+    Action, Backend, BackendId, Balancer, CellId, Event, KindId, Learnt, Millis, Outcome, RequestId, Scope,
+    State, Upload, ZoneId,
 };
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
@@ -20,12 +20,14 @@
 
 use crate::admin::{Command, Order};
 use crate::classes::{Classes, Hold};
-use crate::discovery::{self, Host};
-use crate::frontend::OpenId;
+use crate::discovery;
 use crate::handover::{Handover, Speeds, State as Left};
+use crate::host::Host;
+use crate::inbox::{Answer, Arrival, Inbox, Input};
 use crate::log::Tally;
 use crate::metrics::Metrics;
 use crate::note;
+use crate::open_ids::OpenId;
 use crate::peers::Peers;
 use crate::upstream::{Endpoint, Outgoing, Reply, Upstreams};
 
@@ -41,68 +43,6 @@
 /// Backends whose ids are remembered.
 const LISTED: usize = 10_000;
 
-/// What happens outside the module.
-pub enum Input {
-    /// A whole request has been read.
-    Request(Box<Arrival>),
-    /// Its client has left.
-    Gone(RequestId),
-    /// The process ends, and no other takes its clients.
-    Leaving,
-    /// Other settings.
-    Retune(Box<(Retuning, Connections)>),
-    /// The last byte of a body that is sent on while it comes has been taken.
-    Uploaded(RequestId),
-    /// An attempt has ended.
-    Ended { request: RequestId, attempt: u32, latency: Millis, outcome: Outcome, reply: Option<Reply> },
-    /// News of the list.
-    List(Scope, Vec<Host>),
-    /// Another proxy's message.
-    Datagram { from: u32, bytes: Vec<u8> },
-}
-
-/// A client's request.
-pub struct Arrival {
-    pub id: RequestId,
-    pub class: ClassId,
-    pub hold: Hold,
-    pub tenant: Option<TenantId>,
-    pub key: Option<Key>,
-    pub hint: Option<Millis>,
-    /// When the client gives up.
-    pub deadline: Instant,
-    /// How long it waits, where its time begins only with the last byte of its body.
-    pub upload: Option<Duration>,
-    pub message: Outgoing,
-    pub answer: oneshot::Sender<Answer>,
-    pub open: OpenId,
-}
-
-/// The one final answer.
-pub enum Answer {
-    Served(Reply),
-    /// Trying again is harmless, after a while if one is named.
-    Refused(Option<Millis>),
-    Failed,
-}
-
-/// Where all parts put what they have seen.
-#[derive(Clone)]
-pub struct Inbox(mpsc::UnboundedSender<Input>);
-
-impl Inbox {
-    /// An inbox and the end that the driver reads. Its length is bounded by the budget of sockets: each
-    /// connection holds one request, and each request a few attempts.
-    pub fn new() -> (Self, mpsc::UnboundedReceiver<Input>) {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        (Inbox(sender), receiver)
-    }
-
-    pub fn put(&self, input: Input) {
-        let _ = self.0.send(input); // fails only while the process ends
-    }
-}
-
 /// The module's clock is monotonic and starts with the process; Unix time is converted here alone, by an
 /// offset taken once, so that the same start always gives the same time.
 struct Clock {
--- a/crates/proxy/src/frontend.rs
+++ b/crates/proxy/src/frontend.rs
@@ -22,18 +22,18 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use leadrelay_core::settings::number_of;
 use leadrelay_core::{Effect, Key, RequestId, TenantId};
-use rustc_hash::FxHashSet;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::classes::{Classes, Lane};
-use crate::driver::{Answer, Arrival, Inbox, Input};
 use crate::flow::{self, Fault, Flow, Pace};
 use crate::handover::Handover;
+use crate::inbox::{Answer, Arrival, Inbox, Input};
 use crate::metrics::{End, Metrics, Taken};
 use crate::note;
+use crate::open_ids::{OpenId, OpenIds};
 use crate::upstream::{
     Load, Outgoing, Upload, Upstreams, Written, end_sending, poll_read, poll_write, strip,
 };
@@ -129,28 +129,6 @@
     close: Notify,
 }
 
-/// The ids of open requests. A second request under one of them could be taken for the first.
-type OpenIds = Rc<RefCell<FxHashSet<Rc<str>>>>;
-
-/// Holds an id until the request and its attempts have ended.
-pub struct OpenId {
-    ids: OpenIds,
-    id: Rc<str>,
-}
-
-impl OpenId {
-    fn take(ids: &OpenIds, id: &str) -> Option<Self> {
-        let id: Rc<str> = id.into();
-        ids.borrow_mut().insert(id.clone()).then(|| OpenId { ids: ids.clone(), id })
-    }
-}
-
-impl Drop for OpenId {
-    fn drop(&mut self) {
-        self.ids.borrow_mut().remove(&self.id);
-    }
-}
-
 /// Sockets for clients and backends together.
 pub struct Budget {
     pub whole: usize,
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -14,7 +14,7 @@
 use leadrelay_core::Mean;
 use serde::{Deserialize, Serialize};
 
-use crate::discovery::Host;
+use crate::host::Host;
 use crate::note;
 
 /// Version of the file's form. Another version's file is as good as none.
--- /dev/null
+++ b/crates/proxy/src/inbox.rs
@@ -0,0 +1,75 @@
+//! What the parts of the proxy tell the driver, and where they put it.
+
+use std::time::Duration;
+
+use leadrelay_core::settings::Connections;
+use leadrelay_core::{ClassId, Key, Millis, Outcome, RequestId, Retuning, Scope, TenantId};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+use crate::classes::Hold;
+use crate::host::Host;
+use crate::open_ids::OpenId;
+use crate::upstream::{Outgoing, Reply};
+
+/// What happens outside the module.
+pub enum Input {
+    /// A whole request has been read.
+    Request(Box<Arrival>),
+    /// Its client has left.
+    Gone(RequestId),
+    /// The process ends, and no other takes its clients.
+    Leaving,
+    /// Other settings.
+    Retune(Box<(Retuning, Connections)>),
+    /// The last byte of a body that is sent on while it comes has been taken.
+    Uploaded(RequestId),
+    /// An attempt has ended.
+    Ended { request: RequestId, attempt: u32, latency: Millis, outcome: Outcome, reply: Option<Reply> },
+    /// News of the list.
+    List(Scope, Vec<Host>),
+    /// Another proxy's message.
+    Datagram { from: u32, bytes: Vec<u8> },
+}
+
+/// A client's request.
+pub struct Arrival {
+    pub id: RequestId,
+    pub class: ClassId,
+    pub hold: Hold,
+    pub tenant: Option<TenantId>,
+    pub key: Option<Key>,
+    pub hint: Option<Millis>,
+    /// When the client gives up.
+    pub deadline: Instant,
+    /// How long it waits, where its time begins only with the last byte of its body.
+    pub upload: Option<Duration>,
+    pub message: Outgoing,
+    pub answer: oneshot::Sender<Answer>,
+    pub open: OpenId,
+}
+
+/// The one final answer.
+pub enum Answer {
+    Served(Reply),
+    /// Trying again is harmless, after a while if one is named.
+    Refused(Option<Millis>),
+    Failed,
+}
+
+/// Where all parts put what they have seen.
+#[derive(Clone)]
+pub struct Inbox(mpsc::UnboundedSender<Input>);
+
+impl Inbox {
+    /// An inbox and the end that the driver reads. Its length is bounded by the budget of sockets: each
+    /// connection holds one request, and each request a few attempts.
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<Input>) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        (Inbox(sender), receiver)
+    }
+
+    pub fn put(&self, input: Input) {
+        let _ = self.0.send(input); // fails only while the process ends
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,8 +8,11 @@
 mod flow;
 mod frontend;
 mod handover;
+mod host;
+mod inbox;
 mod log;
 mod metrics;
+mod open_ids;
 mod peers;
 mod upstream;
 
@@ -29,8 +32,9 @@
 
 use classes::Classes;
 use config::Config;
-use driver::{Driver, Inbox, Input, Parts};
+use driver::{Driver, Parts};
 use handover::Handover;
+use inbox::{Inbox, Input};
 use metrics::Metrics;
 
 /// The part of the memory, one in so many, for pieces of bodies on their way, and again for what is read ahead.
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -6,7 +6,7 @@
 use tokio::net::UdpSocket;
 
 use crate::config::PeerAddresses;
-use crate::driver::{Inbox, Input};
+use crate::inbox::{Inbox, Input};
 use crate::note;
 
 const MOST: usize = 256; // bytes of a message, by the protocol
