--- a/crates/cli/tests/proxy.rs
+++ b/crates/cli/tests/proxy.rs
@@ -432,13 +432,22 @@
         (good.replace("\"seed\":\"8c1f30d27a5be964\"", &format!("\"seed\":{{\"x\":\"{taken}\"}}")), "seed"),
     ] {
         let file = config_file(&text);
-        let run = Command::new(env!("CARGO_BIN_EXE_leadrelay")).env("NODE_CONFIG", &file).output().unwrap();
+        let run = Command::new(env!("CARGO_BIN_EXE_leadrelay"))
+            .arg("serve")
+            .env("NODE_CONFIG", &file)
+            .output()
+            .unwrap();
         let _ = std::fs::remove_file(&file);
         let log = String::from_utf8_lossy(&run.stderr).into_owned();
-        assert!(!run.status.success() && log.contains(word), "{word}: {log}");
+        let code = if word.starts_with("listen on") { 1 } else { 2 };
+        assert!(run.status.code() == Some(code) && log.contains(word), "{word}: {log}");
     }
-    let run = Command::new(env!("CARGO_BIN_EXE_leadrelay")).env_remove("NODE_CONFIG").output().unwrap();
-    assert!(!run.status.success());
+    let run = Command::new(env!("CARGO_BIN_EXE_leadrelay"))
+        .arg("serve")
+        .env_remove("NODE_CONFIG")
+        .output()
+        .unwrap();
+    assert_eq!(run.status.code(), Some(2));
 }
 
 #[test]
--- a/crates/cli/tests/sockets/mod.rs
+++ b/crates/cli/tests/sockets/mod.rs
@@ -366,6 +366,12 @@
     file
 }
 
+/// What stands after `field=` in a log.
+fn told_in(log: &str, field: &str) -> Option<String> {
+    let (_, rest) = log.split_once(field)?;
+    rest.split_whitespace().next().map(str::to_owned)
+}
+
 impl Proxy {
     pub fn start(discovery: &Discovery, setup: &Setup) -> Self {
         let file = config_file(&config(discovery.address, setup));
@@ -374,15 +380,19 @@
             // Descriptor 3 as the platform passes it: through the shell, the only way without system calls.
             _ if setup.passed.is_some() => {
                 let mut shell = Command::new("sh");
-                shell.args(["-c", "exec 3<&0 </dev/null; exec \"$0\"", program]);
+                shell.args(["-c", "exec 3<&0 </dev/null; exec \"$0\" serve", program]);
                 shell
             }
             Some(limit) => {
                 let mut shell = Command::new("sh");
-                shell.args(["-c", &format!("ulimit -n {limit}; exec \"$0\""), program]);
+                shell.args(["-c", &format!("ulimit -n {limit}; exec \"$0\" serve"), program]);
                 shell
             }
-            None => Command::new(program),
+            None => {
+                let mut command = Command::new(program);
+                command.arg("serve");
+                command
+            }
         };
         if let Some((listener, folder)) = &setup.passed {
             let listener = listener.try_clone().expect("a handle");
@@ -394,7 +404,8 @@
         let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
         let log = Arc::new(Mutex::new(String::new()));
         let address = lines.by_ref().map_while(Result::ok).find_map(|line| {
-            line.split_once("listens on ").map(|(_, address)| address.parse().expect("an address"))
+            log.lock().expect("no panic").push_str(&format!("{line}\n"));
+            told_in(&line, "listen=").map(|address| address.parse().expect("an address"))
         });
         let kept = log.clone();
         thread::spawn(move || {
@@ -417,18 +428,16 @@
         Client::new(self).ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").is_some_and(|m| m.status() == 200)
     }
 
-    /// What follows a text in the log, up to the end of the line.
-    fn told(&self, text: &str) -> Option<String> {
-        let log = self.log.lock().expect("no panic");
-        let (_, rest) = log.split_once(text)?;
-        Some(rest.split_once('\n')?.0.to_owned())
+    /// A field of the log.
+    fn told(&self, field: &str) -> Option<String> {
+        told_in(&self.log.lock().expect("no panic"), field)
     }
 
     /// A new connection to the second address.
     pub fn caller(&self) -> TcpStream {
         let mut address = None;
         wait_for("the second address", || {
-            address = self.told("second address at ");
+            address = self.told("admin=");
             address.is_some()
         });
         let stream = TcpStream::connect(address.expect("just seen")).expect("the second address accepts");
--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -60,6 +60,7 @@
             subscribed: false,
             ask_at: 0.0,
             overlay: Overlay::default(),
+            choices: Default::default(),
             safe_traffic: cfg.classes.iter().any(|c| c.effect == Effect::Safe),
             cfg,
         }
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -236,6 +236,32 @@
     /// How many there are.
     pub const COUNT: usize = Outcome::Moot as usize + 1;
 
+    /// All of them.
+    pub const ALL: [Outcome; Outcome::COUNT] = [
+        Outcome::Served,
+        Outcome::Error,
+        Outcome::Full,
+        Outcome::TimedOut,
+        Outcome::ConnectFailed,
+        Outcome::Reset,
+        Outcome::Cancelled,
+        Outcome::Moot,
+    ];
+
+    /// Its name in figures and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Outcome::Served => "served",
+            Outcome::Error => "error",
+            Outcome::Full => "full",
+            Outcome::TimedOut => "timed_out",
+            Outcome::ConnectFailed => "connect_failed",
+            Outcome::Reset => "reset",
+            Outcome::Cancelled => "cancelled",
+            Outcome::Moot => "moot",
+        }
+    }
+
     /// Whether the attempt may have had its effect.
     pub fn may_have_run(self) -> bool {
         !matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 mod balancer;
 mod bands;
 mod estimates;
+mod gauges;
 mod handover;
 pub mod interface;
 mod listing;
@@ -28,6 +29,7 @@
 pub mod settings;
 mod state;
 
+pub use gauges::{Choices, Gauges, Standing};
 pub use interface::*;
 pub use policy::threshold::threshold;
 pub use state::Balancer;
--- a/crates/core/src/operators.rs
+++ b/crates/core/src/operators.rs
@@ -61,10 +61,4 @@
     pub fn in_maintenance(&self, id: BackendId) -> bool {
         self.overlay.is_banned(id)
     }
-
-    /// Listed servers, and those of them that get nothing at present.
-    pub fn members(&self, now: Millis) -> (usize, usize) {
-        let listed = || self.servers.iter().filter(|s| s.info.state != State::Gone);
-        (listed().count(), listed().filter(|s| !self.usable(s, now)).count())
-    }
 }
--- a/crates/core/src/policy/threshold.rs
+++ b/crates/core/src/policy/threshold.rs
@@ -3,6 +3,7 @@
 use super::cold::COLD_PART;
 use super::health::ALL_ILL;
 use super::review::TICK;
+use crate::gauges::{AT_ONCE, HELD, PAST_THRESHOLD, URGENT};
 use crate::interface::*;
 use crate::records::Request;
 use crate::state::Balancer;
@@ -74,22 +75,38 @@
             let Some((h, s)) = home.map(|h| (h, &self.servers[h])) else {
                 // Of the faster servers those closed to this class won't come free for it.
                 let (m, sum) = (m * (1.0 - self.blocked[r.class]), sum * (1.0 - self.blocked[r.class]));
-                let go = m < 0.01 || urgent || {
-                    let tau = threshold(m, self.rate * self.mean / sum, sum / m / band.speed);
-                    self.waiting > tau as usize
+                let tau = || threshold(m, self.rate * self.mean / sum, sum / m / band.speed);
+                let choice = if m < 0.01 {
+                    AT_ONCE
+                } else if urgent {
+                    URGENT
+                } else if self.waiting > tau() as usize {
+                    PAST_THRESHOLD
+                } else {
+                    HELD
                 };
-                return go.then_some(k);
+                self.choices[choice] += 1;
+                return (choice != HELD).then_some(k);
             };
             let warm = self.gain / s.cost; // for its key the home is a faster server
             if self.admitted(h, id, now) {
+                self.choices[AT_ONCE] += 1;
                 return Some(h);
             }
             // The home's slots are the faster ones, and those who wait for it over all proxies the queue.
             let n = self.staying();
             let rho = self.rate * n * s.info.rating / self.rating * self.mean / (s.room * warm);
             let tau = threshold(s.room, rho, warm / band.speed);
-            let go = urgent || f64::from(s.wanted) * n > f64::from(tau);
-            return go.then_some(k);
+            let past = f64::from(s.wanted) * n > f64::from(tau);
+            let choice = if urgent {
+                URGENT
+            } else if past {
+                PAST_THRESHOLD
+            } else {
+                HELD
+            };
+            self.choices[choice] += 1;
+            return (choice != HELD).then_some(k);
         }
         home.filter(|&h| self.admitted(h, id, now))
     }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,5 +1,6 @@
 //! All that one proxy's decisions know, and the plumbing of its queues. Nothing is decided here.
 use crate::bands::Bands;
+use crate::gauges::Choices;
 use crate::interface::*;
 use crate::message::Peer;
 use crate::number::draw;
@@ -58,6 +59,7 @@
     pub(crate) ask_at: Millis,
     pub(crate) overlay: Overlay,
     pub(crate) safe_traffic: bool, // a class on offer is safe to repeat
+    pub(crate) choices: Choices,   // what the threshold has decided
 }
 
 impl Balancer {
--- a/crates/core/tests/upkeep.rs
+++ b/crates/core/tests/upkeep.rs
@@ -6,6 +6,13 @@
 use common::*;
 use leadrelay_core::*;
 
+/// Listed servers, and those of them that get nothing.
+fn standings(hand: &Hand) -> (usize, usize) {
+    let counts = hand.balancer.gauges(hand.now).standings;
+    let avoided = Standing::ALL.iter().zip(counts).filter(|(s, _)| s.is_avoided());
+    (counts.iter().sum(), avoided.map(|(_, n)| n).sum())
+}
+
 fn maintenance(id: u64, banned: bool) -> Event {
     Event::Maintenance { backend: BackendId(id), banned }
 }
@@ -52,9 +59,9 @@
     hand.give(full(vec![server(2), server(3)]));
     hand.give(full(vec![server(1), server(2)]));
     assert_eq!(used(&mut hand, 9000), [2]);
-    assert_eq!(hand.balancer.members(hand.now), (2, 1));
+    assert_eq!(standings(&hand), (2, 1));
     hand.give(maintenance(1, false)); // once is enough
-    assert_eq!(hand.balancer.members(hand.now), (2, 0));
+    assert_eq!(standings(&hand), (2, 0));
     assert_eq!(used(&mut hand, 11000), [1, 2]);
 }
 
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -20,9 +20,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
+use tracing::{error, info, warn};
 
 use crate::metrics::Metrics;
-use crate::note;
 
 /// Connections at a time; one more ends the oldest. A caller that finishes no call must not keep others out.
 const MOST: usize = 12;
@@ -32,6 +32,8 @@
 const WORD: Duration = Duration::from_millis(900);
 /// Longest head of a call.
 const HEAD_SIZE: usize = 8 << 10;
+/// The type of the figures in the text form of OpenMetrics.
+const OPENMETRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// Wait after a failed accept, lest it spin.
 const PAUSE: Duration = Duration::from_millis(10);
 
@@ -59,17 +61,22 @@
     pub metrics: Arc<Metrics>,
 }
 
-/// Listens on the second address, in a thread that lasts as long as the process.
-pub fn start(address: SocketAddr, desk: Desk) -> std::io::Result<SocketAddr> {
+/// Listens on the second address.
+pub fn listen(address: SocketAddr) -> std::io::Result<std::net::TcpListener> {
     let listener = std::net::TcpListener::bind(address)?;
     listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+/// Answers operators in a thread of its own; returns where.
+pub fn start(listener: std::net::TcpListener, desk: Desk) -> std::io::Result<SocketAddr> {
     let address = listener.local_addr()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     std::thread::Builder::new().name("admin".into()).spawn(move || {
         runtime.block_on(async {
             match TcpListener::from_std(listener) {
                 Ok(listener) => serve(listener, desk).await,
-                Err(e) => note!("the second address: {e}"),
+                Err(e) => error!(error = %e, "the second address is lost"),
             }
         });
     })?;
@@ -82,7 +89,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
-                note!("the second address: {e}");
+                warn!(error = %e, "accept failed on the second address");
                 sleep(PAUSE).await;
                 continue;
             }
@@ -117,19 +124,15 @@
                 let ready = self.metrics.ready.load(Relaxed);
                 return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
             }
-            (&Method::GET, ["stats"]) => {
-                let mut response = Response::new(Full::new(self.metrics.report().to_string().into()));
-                let json = HeaderValue::from_static("application/json");
-                response.headers_mut().insert(header::CONTENT_TYPE, json);
-                return response;
-            }
+            (&Method::GET, ["stats"]) => return text("application/json", self.metrics.report().to_string()),
+            (&Method::GET, ["metrics"]) => return text(OPENMETRICS, self.metrics.openmetrics()),
             (&Method::PUT, ["healthcheck", "fail"]) => Order::Drain(true),
             (&Method::PUT, ["healthcheck", "ok"]) => Order::Drain(false),
             (&Method::PUT, ["backends", id, "maint"]) => Order::Maintain((*id).to_owned()),
             (&Method::PUT, ["backends", id, "ready"]) => Order::Ready((*id).to_owned()),
             (
                 _,
-                ["healthcheck" | "stats"]
+                ["healthcheck" | "stats" | "metrics"]
                 | ["healthcheck", "fail" | "ok"]
                 | ["backends", _, "maint" | "ready"],
             ) => {
@@ -137,7 +140,7 @@
             }
             _ => return plain(StatusCode::NOT_FOUND),
         };
-        note!("an operator asks: {order:?}");
+        info!(?order, "an operator asks");
         let (done, word) = oneshot::channel();
         let sent = self.commands.send(Command { order, done }).is_ok();
         match timeout(WORD, word).await {
@@ -149,6 +152,12 @@
     }
 }
 
+fn text(kind: &'static str, text: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(text.into()));
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
+
 fn plain(status: StatusCode) -> Response<Full<Bytes>> {
     let text = if status.is_success() { "yes\n" } else { "no\n" };
     let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
--- a/crates/proxy/src/classes.rs
+++ b/crates/proxy/src/classes.rs
@@ -3,9 +3,12 @@
 
 use std::rc::Rc;
 
+use hyper::Method;
 use leadrelay_core::settings::Names;
 use leadrelay_core::{Class, ClassId, Retuning, Settings};
 
+use crate::config::{Dialect, Plain};
+
 /// Places at most, whatever the files of many years name.
 const MOST: usize = 256;
 
@@ -31,10 +34,11 @@
 pub struct Classes {
     places: Vec<Place>,
     pub tenants: Vec<String>,
+    pub dialect: Dialect,
 }
 
 impl Classes {
-    pub fn new(names: &Names, rules: &[Class]) -> Self {
+    pub fn new(names: &Names, rules: &[Class], dialect: &Dialect) -> Self {
         let place = |(name, rules): (&String, &Class)| Place {
             name: name.as_str().into(),
             rules: rules.clone(),
@@ -42,7 +46,7 @@
             offered: true,
         };
         let places = names.classes.iter().zip(rules).map(place).collect();
-        Classes { places, tenants: names.tenants.clone() }
+        Classes { places, tenants: names.tenants.clone(), dialect: dialect.clone() }
     }
 
     /// The class of that name, if it is on offer.
@@ -52,6 +56,19 @@
         Some(Lane { id: ClassId(id), name: name.clone(), rules: rules.clone(), hold: hold.clone() })
     }
 
+    /// The class to which a path and a method belong, by the longest path that fits.
+    pub fn route(&self, plain: &Plain, path: &str, method: &Method) -> Option<Lane> {
+        let within = |prefix: &str| {
+            let prefix = prefix.trim_end_matches('/');
+            path.strip_prefix(prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+        };
+        let takes = |methods: &[String]| methods.is_empty() || methods.iter().any(|m| m == method.as_str());
+        let fits = plain.routes.iter().filter(|r| within(&r.path) && takes(&r.methods));
+        // Of equally long ones the first.
+        let best = fits.rev().max_by_key(|r| r.path.trim_end_matches('/').len())?;
+        self.find(&best.class)
+    }
+
     /// Names on offer, and their places.
     pub fn offered(&self) -> impl Iterator<Item = (&str, usize)> {
         self.places.iter().enumerate().filter(|(_, p)| p.offered).map(|(id, p)| (&*p.name, id))
@@ -64,7 +81,9 @@
     }
 
     /// Offers the classes of these settings and no others; returns them with their places for the module.
-    pub fn retune(&mut self, names: &Names, mut settings: Settings) -> Result<Retuning, String> {
+    pub fn retune(
+        &mut self, names: &Names, mut settings: Settings, dialect: &Dialect,
+    ) -> Result<Retuning, String> {
         let free = |p: &Place| !p.offered && Rc::strong_count(&p.hold) == 1;
         let known = |p: &Place| {
             names.classes.iter().zip(&settings.classes).any(|(n, c)| *p.name == **n && p.rules == *c)
@@ -101,6 +120,7 @@
             }
         }
         self.tenants.clone_from(&names.tenants);
+        self.dialect.clone_from(dialect);
         settings.classes = self.places.iter().map(|p| p.rules.clone()).collect();
         Ok(Retuning { settings, from, offered: self.places.iter().map(|p| p.offered).collect() })
     }
@@ -121,13 +141,13 @@
 
     fn retuned(classes: &mut Classes, to: &[(&str, f64)]) -> Retuning {
         let (settings, names) = parsed(to);
-        classes.retune(&names, settings).expect("it fits")
+        classes.retune(&names, settings, &Dialect::Platform).expect("it fits")
     }
 
     #[test]
     fn a_number_keeps_its_rules_while_a_request_bears_it() {
         let (settings, names) = parsed(&[("a", 100.0), ("b", 200.0)]);
-        let mut classes = Classes::new(&names, &settings.classes);
+        let mut classes = Classes::new(&names, &settings.classes, &Dialect::Platform);
         let open = classes.find("a").expect("on offer");
         // Reordered, with other rules for one.
         let to = retuned(&mut classes, &[("b", 200.0), ("a", 300.0)]);
@@ -152,11 +172,43 @@
     #[test]
     fn too_many_classes_change_nothing() {
         let (settings, names) = parsed(&[("a", 100.0)]);
-        let mut classes = Classes::new(&names, &settings.classes);
+        let mut classes = Classes::new(&names, &settings.classes, &Dialect::Platform);
         let many: Vec<String> = (0..1000).map(|n| format!("c{n}")).collect();
         let many: Vec<(&str, f64)> = many.iter().map(|n| (n.as_str(), 1.0)).collect();
         let (settings, names) = parsed(&many);
-        assert!(classes.retune(&names, settings).is_err());
+        assert!(classes.retune(&names, settings, &Dialect::Platform).is_err());
         assert!(classes.find("a").is_some() && classes.find("c1").is_none());
     }
+
+    #[test]
+    fn a_request_belongs_to_the_longest_path_of_whole_segments_that_fits() {
+        use crate::config::Route;
+        let (settings, names) = parsed(&[("read", 1.0), ("write", 1.0), ("orders", 1.0)]);
+        let route = |class: &str, path: &str, methods: &[&str]| Route {
+            class: class.into(),
+            path: path.into(),
+            methods: methods.iter().map(|m| (*m).to_owned()).collect(),
+        };
+        let routes = vec![
+            route("read", "/", &["GET"]),
+            route("write", "/", &[]),
+            route("orders", "/orders/", &["GET"]),
+        ];
+        let plain = Plain { routes, ..Plain::default() };
+        let classes = Classes::new(&names, &settings.classes, &Dialect::Plain(plain.clone()));
+        let of = |path: &str, method: Method| {
+            classes.route(&plain, path, &method).map(|lane| lane.name.to_string())
+        };
+        for (path, method, class) in [
+            ("/", Method::GET, "read"),
+            ("/orders", Method::GET, "orders"),
+            ("/orders/7", Method::GET, "orders"),
+            ("/ordersheet", Method::GET, "read"),
+            ("/orders/7", Method::POST, "write"),
+        ] {
+            assert_eq!(of(path, method).as_deref(), Some(class), "{path}");
+        }
+        let none = Plain { routes: vec![route("orders", "/orders", &[])], ..Plain::default() };
+        assert!(classes.route(&none, "/other", &Method::GET).is_none());
+    }
 }
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config/platform.rs
@@ -1,16 +1,13 @@
-//! What a proxy is told at its start: NODE_CONFIG, read into typed settings.
+//! The operators' configuration: JSON, with the settings of their simulator.
 
 use std::net::SocketAddr;
-use std::path::Path;
 
-use leadrelay_core::Settings;
-use leadrelay_core::settings::{self, Connections, Names, number_of};
+use leadrelay_core::settings::{self, number_of};
 use serde::Deserialize;
 use serde_json::Value;
 
-/// Part of the descriptors that requests may hold. Clients use a third at most; what the module gives up a
-/// little before that leaves room to hear of better requests.
-const HELD: (usize, usize) = (5, 16);
+use super::fault::Fault;
+use super::{Config, Dialect, HELD, Logging, Origin, PeerAddresses, Source};
 
 /// The file as it stands; unknown keys are passed over.
 #[derive(Deserialize)]
@@ -37,52 +34,21 @@
     memory_mb: Option<f64>,
 }
 
-/// Where proxies exchange datagrams.
-pub struct PeerAddresses {
-    pub listen: SocketAddr,
-    /// One address a proxy, in the order of their numbers.
-    pub peers: Vec<SocketAddr>,
-    pub all: SocketAddr,
+/// A fault, at the place that a JSON parser tells if it has one.
+fn fault(e: &serde_json::Error) -> Fault {
+    Fault { line: e.line(), column: e.column(), message: e.to_string() }
 }
 
-/// All that the parts of the proxy need to know.
-pub struct Config {
-    pub name: String,
-    pub listen: SocketAddr,
-    /// The second address, for operators.
-    pub admin: Option<SocketAddr>,
-    pub discovery: SocketAddr,
-    pub seed: u64,
-    /// File descriptors that the process may hold.
-    pub sockets: usize,
-    /// Memory that the process may take, in bytes.
-    pub memory: usize,
-    pub peers: Option<PeerAddresses>,
-    /// The list of backends as last seen, in discovery's form; perhaps old, perhaps nothing.
-    pub known: Value,
-    pub settings: Settings,
-    pub names: Names,
-    pub connections: Connections,
-    /// The file as it stands, but for the remembered list.
-    pub raw: Value,
+fn plain(message: String) -> Fault {
+    Fault { line: 0, column: 0, message }
 }
 
-/// Reads the file; the message of an error names what is wrong with it.
-pub fn read(path: &Path) -> Result<Config, String> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    parse(&text).map_err(|e| format!("{}: {e}", path.display()))
-}
-
-/// Reads the file for a process that runs, whose own one is `running`: nothing may be missing or out of place.
-pub fn reread(path: &Path, running: &Value) -> Result<Config, String> {
-    let again = |text: &str| {
-        let raw = serde_json::from_str(text).map_err(|e| e.to_string())?;
-        complete(running, &raw, "")?;
-        settings::check(&raw["settings"])?;
-        parse(text)
-    };
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    again(&text).map_err(|e| format!("{}: {e}", path.display()))
+/// Reads the file for a process that runs by `running`: nothing may be missing or out of place.
+pub(super) fn reparse(text: &str, running: &Value) -> Result<Config, Fault> {
+    let raw = serde_json::from_str(text).map_err(|e| fault(&e))?;
+    complete(running, &raw, "").map_err(plain)?;
+    settings::check(&raw["settings"]).map_err(plain)?;
+    parse(text)
 }
 
 /// Keys that may come and go.
@@ -120,26 +86,27 @@
     Ok(())
 }
 
-fn parse(text: &str) -> Result<Config, String> {
-    let mut raw: Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
-    let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+/// Reads the file; a fault names what is wrong with it.
+pub(super) fn parse(text: &str) -> Result<Config, Fault> {
+    let mut raw: Value = serde_json::from_str(text).map_err(|e| fault(&e))?;
+    let file: File = serde_json::from_str(text).map_err(|e| fault(&e))?;
     if let Some(all) = raw.as_object_mut() {
         all.remove("known");
     }
     if !file.settings.is_object() {
-        return Err("'settings' is no object".into());
+        return Err(plain("'settings' is no object".into()));
     }
     let (mut settings, names) = settings::parse(&file.settings);
     if settings.classes.is_empty() || names.classes.iter().any(String::is_empty) {
-        return Err("'settings' has no named classes".into());
+        return Err(plain("'settings' has no named classes".into()));
     }
     // A wrong number would make this proxy claim another's part of the servers.
     if settings.me >= settings.proxies {
-        return Err(format!("'settings': proxy number {} of {}", settings.me, settings.proxies));
+        return Err(plain(format!("'settings': proxy number {} of {}", settings.me, settings.proxies)));
     }
     let peers = match (file.peer_listen, file.peers_all) {
         (Some(listen), Some(all)) if settings.may_tell => {
-            Some(PeerAddresses { listen, peers: file.peers, all })
+            Some(PeerAddresses { listen, peers: file.peers, all: Some(all) })
         }
         _ => None,
     };
@@ -149,8 +116,8 @@
         name: file.name,
         listen: file.listen,
         admin: file.admin_addr,
-        discovery: file.discovery,
-        seed: seed(&file.seed).ok_or("'seed' is neither text nor a whole number")?,
+        source: Source::Discovery(file.discovery),
+        seed: seed(&file.seed).ok_or_else(|| plain("'seed' is neither text nor a whole number".into()))?,
         sockets,
         memory: (file.limits.memory_mb.unwrap_or(64.0).clamp(16.0, 65_536.0) * 1e6) as usize,
         peers,
@@ -158,7 +125,9 @@
         connections: settings::connections(&file.settings),
         settings,
         names,
-        raw,
+        dialect: Dialect::Platform,
+        logging: Logging::default(),
+        origin: Origin::Platform(raw),
     })
 }
 
@@ -172,6 +141,8 @@
 
 #[cfg(test)]
 mod tests {
+    use leadrelay_core::settings::Connections;
+
     use super::*;
 
     const GOOD: &str = r#"{"name":"n0","listen":"127.0.0.1:9000","discovery":"127.0.0.1:8500","seed":"8c1f",
@@ -198,11 +169,11 @@
         let good = GOOD
             .replace("\"deadline\":900", "\"deadline\":900,\"promise\":500,\"worth\":1.0")
             .replace("\"mayTell\":true", "\"mayTell\":true,\"maxAttempts\":3");
-        let running = parse(&good).expect("good").raw;
+        let running = parse(&good).expect("good").origin;
         let file = std::env::temp_dir().join(format!("reread-{}.json", std::process::id()));
         let reread = |text: &str| {
             std::fs::write(&file, text).expect("a file");
-            reread(&file, &running).map(|config| config.names.classes)
+            super::super::reread(&file, &running).map(|config| config.names.classes)
         };
         assert_eq!(reread(&good), Ok(vec!["page".to_owned()]));
         // A class may be added, and its effect be another one.
@@ -247,7 +218,7 @@
             ("\"myNumber\":0", "\"myNumber\":3", "number 3 of 1"),
             ("{\"name\"", "{\"name", "line"),
         ] {
-            let error = parse(&GOOD.replace(from, to)).err().expect(to);
+            let error = parse(&GOOD.replace(from, to)).expect_err(to).message;
             assert!(error.contains(word), "{to}: {error}");
         }
     }
--- /dev/null
+++ b/crates/proxy/src/config/values.rs
@@ -0,0 +1,90 @@
+//! Values that a configuration file writes as text: addresses, spans of time, sizes.
+
+use std::borrow::Cow;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use schemars::{JsonSchema, Schema, SchemaGenerator, json_schema};
+use serde::{Deserialize, Serialize};
+
+/// The formats of text that the schema names, with an example of each and a check.
+pub(super) type Format = (&'static str, &'static str, fn(&str) -> bool);
+pub(super) const FORMATS: [Format; 4] = [
+    ("address", "127.0.0.1:8080", |text| text.parse::<SocketAddr>().is_ok()),
+    ("duration", "250ms", |text| duration(text).is_some()),
+    ("size", "64MiB", |text| text.parse::<bytesize::ByteSize>().is_ok()),
+    ("filter", "info,leadrelay::access=off", |text| !text.trim().is_empty()),
+];
+
+/// A span of time as people write it: `250ms`, `1s 500ms`, `2m`.
+fn duration(text: &str) -> Option<Duration> {
+    humantime::parse_duration(text).ok().filter(|d| *d <= Duration::from_secs(366 * 24 * 3600))
+}
+
+macro_rules! text_value {
+    ($(#[$doc:meta])* $name:ident($of:ty), $format:literal, $parse:expr, $show:expr) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq)]
+        pub struct $name(pub $of);
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: serde::Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+                let text = Cow::<str>::deserialize(from)?;
+                let parse: fn(&str) -> Option<$of> = $parse;
+                parse(&text).map($name).ok_or_else(|| {
+                    serde::de::Error::custom(format!("'{text}' is no {}", $format))
+                })
+            }
+        }
+
+        impl Serialize for $name {
+            fn serialize<S: serde::Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+                let show: fn(&$of) -> String = $show;
+                to.serialize_str(&show(&self.0))
+            }
+        }
+
+        impl JsonSchema for $name {
+            fn inline_schema() -> bool {
+                true
+            }
+
+            fn schema_name() -> Cow<'static, str> {
+                stringify!($name).into()
+            }
+
+            fn json_schema(_: &mut SchemaGenerator) -> Schema {
+                json_schema!({ "type": "string", "format": $format })
+            }
+        }
+    };
+}
+
+text_value!(
+    /// Where to listen or to connect to: IP and port, `[::1]:8080` for IPv6. Names are not looked up.
+    Address(SocketAddr),
+    "address",
+    |text| text.parse().ok(),
+    |address| address.to_string()
+);
+text_value!(
+    /// A span of time, a year at most.
+    Span(Duration),
+    "duration",
+    duration,
+    |span| humantime::format_duration(*span).to_string()
+);
+text_value!(
+    /// A number of bytes.
+    Size(u64),
+    "size",
+    |text| text.parse::<bytesize::ByteSize>().ok().map(|size| size.0),
+    |size| bytesize::ByteSize(*size).to_string()
+);
+
+impl Span {
+    /// In milliseconds.
+    pub fn ms(self) -> f64 {
+        self.0.as_secs_f64() * 1000.0
+    }
+}
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -17,10 +17,10 @@
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
+use tracing::{info, warn};
 
 use crate::host::Host;
 use crate::inbox::{Inbox, Input};
-use crate::note;
 
 /// A watch sends an empty line every 2 s. One that is silent for longer may hang on a dead machine, and what
 /// it would tell counts as told 6 s after it was said: a new watch has to be up before that.
@@ -51,7 +51,7 @@
     match List::deserialize(known) {
         Ok(list) => Some(list.entries()),
         Err(e) => {
-            note!("the remembered list is of no use: {e}");
+            warn!(error = %e, "the remembered list is of no use");
             None
         }
     }
@@ -83,7 +83,7 @@
                 Err(_) => std::future::pending().await, // nobody is left who could move it
             },
         }
-        note!("discovery at {address} has told its list");
+        info!(%address, "discovery has told its list");
         if addresses.changed().await.is_err() {
             while serving.join_next().await.is_some() {}
         }
@@ -119,14 +119,14 @@
                 return; // what it would say is late
             }
             if asked.is_some() && waits {
-                note!("discovery: {error}");
+                info!(address = %self.address, error, "discovery failed");
                 self.inbox.put(Input::List(Scope::Failed, Vec::new()));
                 continue;
             }
             if self.seq != before {
                 backoff = BACKOFF.0;
             }
-            note!("discovery: {error}; again in {} ms", backoff.as_millis());
+            info!(address = %self.address, error, again_ms = backoff.as_millis() as u64, "discovery failed");
             sleep(backoff).await;
             backoff = (backoff * 2).min(BACKOFF.1);
         }
@@ -164,7 +164,7 @@
         }
         let list: List = serde_json::from_slice(line).map_err(|e| format!("a broken line: {e}"))?;
         if self.seq.is_some_and(|seq| list.seq < seq || list.seq == seq && !list.whole) {
-            note!("discovery: news of {} is stale", list.seq); // what it says is older than what is known
+            info!(seq = list.seq, "stale news of discovery"); // what it says is older than what is known
             return Ok(());
         }
         if !list.whole && self.seq.is_none() {
@@ -190,7 +190,7 @@
     match list.await.unwrap_or_else(|_| Err("no answer".into())) {
         Ok(list) => inbox.put(Input::List(Scope::Full, list.entries())),
         Err(e) => {
-            note!("discovery: {e}");
+            info!(%address, error = e, "discovery failed");
             inbox.put(Input::List(Scope::Failed, Vec::new()));
         }
     }
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -17,6 +17,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
+use tracing::{error, info, warn};
 
 use crate::admin::{Command, Order};
 use crate::classes::{Classes, Hold};
@@ -24,11 +25,11 @@
 use crate::handover::{Handover, Speeds, State as Left};
 use crate::host::Host;
 use crate::inbox::{Answer, Arrival, Inbox, Input};
-use crate::log::Tally;
 use crate::metrics::Metrics;
-use crate::note;
 use crate::open_ids::OpenId;
 use crate::peers::Peers;
+use crate::tally::Tally;
+use crate::trail::Trail;
 use crate::upstream::{Endpoint, Outgoing, Reply, Upstreams};
 
 /// What the client is told has to be on its way this long before the client gives up, whatever happens.
@@ -85,7 +86,10 @@
     /// Its class keeps its rules for as long.
     _hold: Hold,
     /// Its id is taken for as long.
-    _open: OpenId,
+    _open: Option<OpenId>,
+    trail: Option<Rc<Trail>>,
+    /// What a backend said that failed, where clients may see that.
+    error: Option<Reply>,
 }
 
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
@@ -102,8 +106,8 @@
     pub inbox: Inbox,
     pub upstreams: Rc<Upstreams>,
     pub peers: Option<Rc<Peers>>,
-    /// Where discovery is at present.
-    pub discovery: watch::Receiver<SocketAddr>,
+    /// Where discovery is at present; `None` where the list of backends is fixed.
+    pub discovery: Option<watch::Receiver<SocketAddr>>,
     /// Told when the module wants a watch.
     pub watch: Rc<Notify>,
     pub metrics: Arc<Metrics>,
@@ -193,8 +197,7 @@
                 self.parts.upstreams.sweep();
                 sweep = now + SWEEP;
                 if now >= tally {
-                    self.tally.dials = self.parts.upstreams.dialed();
-                    self.tally.tell(self.told.elapsed());
+                    self.tally.tell(&self.parts.metrics, self.told.elapsed());
                     tally = now + TALLY;
                 }
             }
@@ -245,7 +248,7 @@
         let Some(handover) = &self.parts.handover else { return true };
         let done = handover.update(change);
         if let Err(e) = &done {
-            note!("the handover: {e}");
+            warn!(error = %e, "the handover could not be written");
         }
         done.is_ok()
     }
@@ -261,10 +264,7 @@
         }
         if self.twin != handover.twin() {
             self.twin = handover.twin();
-            note!(
-                "{}",
-                if self.twin { "another process runs beside this one" } else { "this process runs alone" }
-            );
+            info!(twin = self.twin, "another process of this proxy has come or gone");
             self.handle(Event::Twin(self.twin));
         }
         if save && handover.owner() {
@@ -337,9 +337,7 @@
 
     /// Notes what the figures show of the list.
     fn gauge(&self) {
-        let (members, avoided) = self.balancer.members(self.clock.at(Instant::now()));
-        self.parts.metrics.members.store(members, Relaxed);
-        self.parts.metrics.members_unavailable.store(avoided, Relaxed);
+        self.parts.metrics.gauge(&self.balancer.gauges(self.clock.at(Instant::now())));
     }
 
     fn take(&mut self, input: Input) {
@@ -369,7 +367,8 @@
     }
 
     fn request(&mut self, arrival: Arrival) {
-        let Arrival { id, class, hold, tenant, key, hint, deadline, upload, message, answer, open } = arrival;
+        let Arrival { id, class, hold, tenant, key, hint, deadline, upload, message, answer, trail, open } =
+            arrival;
         let last = deadline - LAST_RESORT;
         let now = Instant::now();
         let budget = upload.unwrap_or(last.saturating_duration_since(now)).as_secs_f64() * 1000.0;
@@ -386,6 +385,8 @@
                 out: 0,
                 _hold: hold,
                 _open: open,
+                trail,
+                error: None,
             },
         );
         self.tally.requests += 1;
@@ -422,11 +423,15 @@
         live.out -= 1;
         let spent = live.message.is_spent();
         self.tally.outcomes[outcome as usize] += 1;
+        self.parts.metrics.attempt(outcome, latency);
         let was_open = live.answer.is_some();
-        if let (Outcome::Served, Some(reply)) = (outcome, reply)
-            && let Some(answer) = self.close(request)
-        {
-            let _ = answer.send(Answer::Served(reply)); // else the client has just left
+        match (outcome, reply) {
+            (Outcome::Served, Some(reply)) => {
+                if let Some(answer) = self.close(request) {
+                    let _ = answer.send(Answer::Served(reply)); // else the client has just left
+                }
+            }
+            (_, reply) => live.error = reply.or(live.error.take()),
         }
         let closed = !was_open || outcome == Outcome::Served;
         self.forget(request);
@@ -436,6 +441,11 @@
         self.handle(Event::Ended { request, attempt, latency, outcome, closed });
     }
 
+    /// What a backend said that failed, if its client may see that.
+    fn error(&mut self, id: RequestId) -> Option<Reply> {
+        self.live.get_mut(&id)?.error.take()
+    }
+
     /// Takes the right to answer a request; from here on nothing more begins for it.
     fn close(&mut self, id: RequestId) -> Option<oneshot::Sender<Answer>> {
         let live = self.live.get_mut(&id)?;
@@ -542,15 +552,18 @@
             Action::Send { request, backend, timeout } => self.send(request, backend, timeout),
             Action::Refuse { request, retry_after } => {
                 let tried = self.live.get(&request).is_some_and(|l| l.attempts > 0);
+                let error = self.error(request);
                 if let Some(answer) = self.close(request) {
                     self.tally.refused[usize::from(tried)] += 1;
-                    let _ = answer.send(Answer::Refused(retry_after));
+                    let refused = Answer::Refused { after: retry_after, tried };
+                    let _ = answer.send(error.map_or(refused, Answer::Passed));
                 }
             }
             Action::Fail(request) => {
+                let error = self.error(request);
                 if let Some(answer) = self.close(request) {
                     self.tally.failed += 1;
-                    let _ = answer.send(Answer::Failed);
+                    let _ = answer.send(error.map_or(Answer::Failed, Answer::Passed));
                 }
             }
             Action::Timer { token, at } => {
@@ -567,15 +580,18 @@
                 self.parts.watch.notify_one();
             }
             Action::FetchList => {
-                let address = *self.parts.discovery.borrow();
-                tokio::task::spawn_local(discovery::fetch(address, self.parts.inbox.clone()));
+                if let Some(discovery) = &self.parts.discovery {
+                    let address = *discovery.borrow();
+                    tokio::task::spawn_local(discovery::fetch(address, self.parts.inbox.clone()));
+                }
             }
         }
     }
 
     fn send(&mut self, request: RequestId, backend: BackendId, timeout: Option<Millis>) {
         let Some(live) = self.live.get_mut(&request) else {
-            return note!("a send for a request that is not held");
+            error!(request = request.0, "a send for a request that is not held");
+            return;
         };
         let now = Instant::now();
         live.sent = Rc::new(Cell::new(now));
@@ -588,6 +604,9 @@
             told: false,
         };
         live.attempts += 1;
+        if let Some(trail) = &live.trail {
+            trail.sent(backend, self.hosts.get(&backend).map(|h| h.host.as_str()));
+        }
         live.out += 1;
         self.tally.sends += 1;
         let Some(endpoint) = self.endpoints.get(&backend).filter(|e| live.wanted.get() && e.is_open()) else {
@@ -652,7 +671,8 @@
         let latency = at.saturating_duration_since(self.sent.get()).as_secs_f64() * 1000.0;
         let (request, attempt) = (self.request, self.attempt);
         if outcome != Outcome::Served {
-            note!("an attempt at {:016x}: {outcome:?} after {latency:.0} ms", self.backend.0);
+            let backend = format_args!("{:016x}", self.backend.0);
+            info!(backend = %backend, attempt, outcome = outcome.name(), latency_ms = latency.round(), "attempt failed");
         }
         self.inbox.put(Input::Ended { request, attempt, latency, outcome, reply });
     }
--- a/crates/proxy/src/frontend.rs
+++ b/crates/proxy/src/frontend.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -18,22 +18,24 @@
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use leadrelay_core::settings::number_of;
-use leadrelay_core::{Effect, Key, RequestId, TenantId};
+use leadrelay_core::RequestId;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+use tracing::{info, warn};
 
-use crate::classes::{Classes, Lane};
+use crate::classes::Classes;
+use crate::config::Dialect;
 use crate::flow::{self, Fault, Flow, Pace};
 use crate::handover::Handover;
+use crate::head::{self, Asked, Wrong};
 use crate::inbox::{Answer, Arrival, Inbox, Input};
-use crate::metrics::{End, Metrics, Taken};
-use crate::note;
+use crate::metrics::{Cause, Metrics, Taken};
 use crate::open_ids::{OpenId, OpenIds};
+use crate::trail::Trail;
 use crate::upstream::{
     Load, Outgoing, Upload, Upstreams, Written, end_sending, poll_read, poll_write, strip,
 };
@@ -116,6 +118,7 @@
     /// When its next request has to be whole.
     due: Cell<Instant>,
     accepted: Instant,
+    from: IpAddr,
     /// The earliest time at which it may have come, until its first request has been read.
     queued: Cell<Option<Instant>>,
     /// It has ended its sending.
@@ -150,6 +153,9 @@
     pub upstreams: Rc<Upstreams>,
     pub budget: Budget,
     pub metrics: Arc<Metrics>,
+    /// The part of the requests that leave an access event, and what is saved up for the next one.
+    access: Rc<Cell<f64>>,
+    access_credit: Cell<f64>,
     next: Cell<u64>,
     /// Whether the operators have taken the proxy out of service, and whether the process ends.
     drained: Rc<Cell<bool>>,
@@ -167,7 +173,7 @@
 impl Frontend {
     pub fn new(
         inbox: Inbox, classes: Rc<RefCell<Classes>>, upstreams: Rc<Upstreams>, budget: Budget,
-        metrics: Arc<Metrics>, drained: Rc<Cell<bool>>,
+        metrics: Arc<Metrics>, drained: Rc<Cell<bool>>, access: Rc<Cell<f64>>,
     ) -> Rc<Self> {
         Rc::new(Frontend {
             inbox,
@@ -175,6 +181,8 @@
             upstreams,
             budget,
             metrics,
+            access,
+            access_credit: Cell::new(0.0),
             next: Cell::new(0),
             drained,
             stopping: Cell::new(false),
@@ -220,7 +228,8 @@
         let end = Instant::now() + Duration::from_secs_f64(longest.min(1e6) / 1000.0) + FINISH;
         while self.busy.get() > 0 {
             if timeout_at(end, self.left.notified()).await.is_err() {
-                return note!("ended with connections open");
+                warn!(open = self.busy.get(), "ended with requests open");
+                return;
             }
         }
     }
@@ -276,7 +285,7 @@
             }
         };
         match next {
-            Ok((stream, _)) => {
+            Ok((stream, from)) => {
                 let _ = stream.set_nodelay(true); // slower without, no worse
                 if self.open.get() >= most * 7 / 8 {
                     self.make_room(false);
@@ -288,6 +297,7 @@
                     since: Cell::new(now),
                     due: Cell::new(now + WHOLE),
                     accepted: now,
+                    from: from.ip(),
                     queued: Cell::new(Some(self.empty.get())),
                     ended: Cell::new(false),
                     head: RefCell::default(),
@@ -308,7 +318,7 @@
             }
             // Out of descriptors or the like: make room, wait a moment, go on.
             Err(e) => {
-                note!("accept: {e}");
+                warn!(error = %e, "accept failed");
                 self.upstreams.close_idle();
                 self.make_room(false);
                 sleep(PAUSE).await;
@@ -357,6 +367,7 @@
 
     /// Closes the connections whose time is up.
     fn sweep(&self) {
+        self.metrics.connected(self.open.get(), self.upstreams.in_use());
         let now = Instant::now();
         let standing = self.standing.borrow();
         let unheard = [Stage::Silent, Stage::Begun];
@@ -386,8 +397,8 @@
                 front.turn(&client, Stage::Busy);
                 let over = front.busy.get() > front.budget.now() / BUSY.1 * BUSY.0;
                 let mut response = if over {
-                    if let Ok(asked) = front.check(request.method(), request.uri(), request.headers()) {
-                        front.taken(&asked).end(End::Rejected);
+                    if let Ok(asked) = front.check(&request) {
+                        front.taken(&asked, came).end(Cause::RefusedBusy);
                     }
                     plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
                 } else {
@@ -425,7 +436,7 @@
                 // Nor may an answer on its way, of which nobody takes anything.
                 () = sleep_until(client.took.get() + UNREAD), if client.flows.get() => {
                     if client.flows.get() && client.took.get().elapsed() >= UNREAD {
-                        note!("a client takes nothing of its answer");
+                        info!(client = %client.from, "a client takes nothing of its answer");
                         return;
                     }
                 }
@@ -452,25 +463,28 @@
     async fn respond(
         self: &Rc<Self>, request: Request<Incoming>, came: Instant, raw: Option<Vec<u8>>, client: &Rc<Client>,
     ) -> Response<Written> {
-        if request.uri().path() == "/up" {
+        if self.asks_up(request.uri().path()) {
             let up = self.metrics.ready.load(Relaxed) && !self.draining();
             return plain(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
-        let (head, body) = request.into_parts();
-        let asked = match self.check(&head.method, &head.uri, &head.headers) {
+        let asked = match self.check(&request) {
             Ok(asked) => asked,
             Err((status, text)) => return plain(status, text),
         };
+        let (head, body) = request.into_parts();
         // Its length lies or hides a second request where both are told: hyper shows only one of them.
-        if head.headers.contains_key(header::TRANSFER_ENCODING) && raw.is_none_or(|raw| tells_length(&raw)) {
+        if head.headers.contains_key(header::TRANSFER_ENCODING)
+            && raw.is_none_or(|raw| head::tells_length(&raw))
+        {
             return plain(StatusCode::LENGTH_REQUIRED, "the length must be told, and once");
         }
         if body.size_hint().lower() > flow::MOST {
             return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
         }
-        let Some(open) = OpenId::take(&self.ids, &asked.id) else {
+        let open = OpenId::take(&self.ids, &asked.id);
+        if asked.sole && open.is_none() {
             return plain(StatusCode::CONFLICT, "a request with this id is open");
-        };
+        }
         let id = RequestId(self.number());
         let begun = Instant::now();
         let (load, rest) = match self.read_ahead(body, client.due.get()).await {
@@ -493,9 +507,14 @@
         let deadline = came + upload.map_or(asked.patience, |_| UPLOAD);
         let mut headers = head.headers;
         strip(&mut headers);
+        if !asked.sole {
+            head::introduce(&mut headers, &asked.id, client.from);
+        }
         let (answer, answered) = oneshot::channel();
-        let message = Outgoing { method: head.method, uri: target(&head.uri), headers, body: load };
-        let taken = self.taken(&asked);
+        let message = Outgoing { method: head.method, uri: head::target(&head.uri), headers, body: load };
+        let mut taken = self.taken(&asked, came);
+        let trail = self.trail(&asked, came);
+        taken.follow(trail.clone());
         let Asked { lane, tenant, key, hint, .. } = asked;
         self.inbox.put(Input::Request(Box::new(Arrival {
             id,
@@ -508,6 +527,7 @@
             upload,
             message,
             answer,
+            trail,
             open,
         })));
         // Hyper drops this future when the client leaves.
@@ -521,7 +541,10 @@
                     answer = answered.as_mut() => answer,
                     sent = rest => match sent {
                         Ok(()) => answered.await,
-                        Err(fault) => return spoilt(fault),
+                        Err(fault) => {
+                            taken.end(Cause::BodyBroken);
+                            return spoilt(fault);
+                        }
                     },
                 }
             }
@@ -531,25 +554,33 @@
             Ok(Answer::Served(reply)) => {
                 let body = match reply.body {
                     Either::Left(body) => {
-                        taken.end(End::Completed);
+                        taken.end(Cause::Served);
                         Either::Left(body)
                     }
                     Either::Right(flow) => Either::Right(self.clone().lead(flow, taken, client)),
                 };
-                let mut response = Response::new(body);
-                *response.headers_mut() = reply.headers;
-                response
+                answered_by(reply.status, reply.headers, body)
+            }
+            // The module could not make it good elsewhere: the client sees what the backend said.
+            Ok(Answer::Passed(reply)) => {
+                taken.end(Cause::BackendError);
+                answered_by(reply.status, reply.headers, reply.body)
             }
-            Ok(Answer::Refused(after)) => {
-                taken.end(End::Rejected);
+            Ok(Answer::Refused { after, tried }) => {
+                taken.end(if tried { Cause::RefusedTried } else { Cause::RefusedUntried });
                 let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "try again");
-                if let Some(after) = after.and_then(|ms| format!("{:.3}", ms / 1000.0).parse().ok()) {
+                // Only the operators' protocol knows parts of a second.
+                let text = |ms: f64| match self.is_plain() {
+                    true => format!("{:.0}", (ms / 1000.0).ceil()),
+                    false => format!("{:.3}", ms / 1000.0),
+                };
+                if let Some(after) = after.and_then(|ms| text(ms).parse().ok()) {
                     response.headers_mut().insert(header::RETRY_AFTER, after);
                 }
                 response
             }
             Ok(Answer::Failed) | Err(_) => {
-                taken.end(End::Failed);
+                taken.end(Cause::Failed);
                 plain(StatusCode::BAD_GATEWAY, "failed")
             }
         }
@@ -576,7 +607,7 @@
         client.took.set(Instant::now());
         let client = client.clone();
         flow.at_end(Box::new(move |whole| {
-            taken.end(if whole { End::Completed } else { End::Failed });
+            taken.end(if whole { Cause::Served } else { Cause::AnswerBroken });
             client.flows.set(false);
             if whole {
                 self.turn(&client, Stage::Idle);
@@ -585,48 +616,36 @@
         flow
     }
 
-    /// Notes that a request has been taken.
-    fn taken(&self, asked: &Asked) -> Taken {
-        self.metrics.take(&asked.lane.name)
+    /// Notes that a request has been taken, whose last byte came at `came`.
+    fn taken(&self, asked: &Asked, came: Instant) -> Taken {
+        self.metrics.take(&asked.lane.name, came)
     }
 
-    /// Reads what the module has to know; what can't be right goes no further.
-    fn check(
-        &self, method: &Method, uri: &Uri, headers: &HeaderMap,
-    ) -> Result<Asked, (StatusCode, &'static str)> {
-        let bad = |text| (StatusCode::BAD_REQUEST, text);
-        let name = uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-        let classes = self.classes.borrow();
-        let lane = classes.find(name).ok_or((StatusCode::NOT_FOUND, "no such class"))?;
-        let wanted = if lane.rules.effect == Effect::Safe { Method::GET } else { Method::POST };
-        if *method != wanted {
-            return Err((StatusCode::METHOD_NOT_ALLOWED, "not the method of this class"));
-        }
-        let keyed = matches!(lane.rules.effect, Effect::Keyed { .. });
-        if keyed != one(headers, "idempotency-key")?.is_some() && *method == Method::POST {
-            return Err(bad("Idempotency-Key does not fit the class"));
+    /// A trail for the requests that leave an access event: evenly, so that none waits on chance.
+    fn trail(&self, asked: &Asked, came: Instant) -> Option<Rc<Trail>> {
+        let credit = self.access_credit.get() + self.access.get();
+        let due = credit >= 1.0;
+        self.access_credit.set(if due { credit - 1.0 } else { credit });
+        let tenant = asked.tenant.and_then(|t| self.classes.borrow().tenants.get(t.0).cloned());
+        due.then(|| Rc::new(Trail::new(&asked.id, &asked.lane.name, tenant.as_deref(), came)))
+    }
+
+    fn check(&self, request: &Request<Incoming>) -> Result<Asked, Wrong> {
+        let number = self.next.get();
+        head::read(&self.classes.borrow(), request.method(), request.uri(), request.headers(), number)
+    }
+
+    /// The operators' protocol holds no longer where the dialect is another one.
+    fn is_plain(&self) -> bool {
+        matches!(self.classes.borrow().dialect, Dialect::Plain(_))
+    }
+
+    /// Whether a path asks if clients are to be sent here.
+    fn asks_up(&self, path: &str) -> bool {
+        match &self.classes.borrow().dialect {
+            Dialect::Platform => path == "/up",
+            Dialect::Plain(plain) => plain.up_path.as_deref() == Some(path),
         }
-        let id = one(headers, "x-request-id")?.filter(|id| !id.is_empty());
-        let id = id.ok_or(bad("X-Request-ID is missing"))?.to_owned();
-        let tenant = match one(headers, "x-tenant-id")? {
-            _ if classes.tenants.is_empty() => None,
-            Some(name) => {
-                let tenant = classes.tenants.iter().position(|t| t == name);
-                Some(TenantId(tenant.ok_or(bad("no such tenant"))?))
-            }
-            None => return Err(bad("X-Tenant-Id is missing")),
-        };
-        let number = |name: &'static str| -> Result<Option<f64>, _> {
-            let Some(text) = one(headers, name)? else { return Ok(None) };
-            let number = text.trim().parse::<f64>().ok().filter(|x| x.is_finite() && *x >= 0.0);
-            number.map(Some).ok_or(bad("a header is no number"))
-        };
-        let patience = number("x-timeout")?.ok_or(bad("X-Timeout is missing"))?;
-        let patience = Duration::from_secs_f64(patience.min(lane.rules.deadline / 1000.0));
-        let query = uri.query().unwrap_or_default();
-        let sid = query.split('&').find_map(|p| p.strip_prefix("sid="));
-        let hint = number("x-cost")?.map(|us| us / 1000.0);
-        Ok(Asked { id, lane, tenant, key: sid.map(|s| Key(number_of(s))), hint, patience })
     }
 }
 
@@ -636,16 +655,6 @@
     Begun { read: Bytes, held: Option<flow::Held>, body: Incoming, pace: Pace },
 }
 
-/// What a request's head says.
-struct Asked {
-    id: String,
-    lane: Lane,
-    tenant: Option<TenantId>,
-    key: Option<Key>,
-    hint: Option<f64>,
-    patience: Duration,
-}
-
 /// A client's socket. It notes when a request begins, and when the client has ended its sending.
 struct Heard {
     stream: Rc<TcpStream>,
@@ -728,31 +737,6 @@
     }
 }
 
-/// A header that may stand once.
-fn one<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, (StatusCode, &'static str)> {
-    let mut values = headers.get_all(name).iter();
-    let value = values.next().map(|v| v.to_str()).transpose();
-    match (value, values.next()) {
-        (Ok(value), None) => Ok(value),
-        _ => Err((StatusCode::BAD_REQUEST, "a header is malformed or stands twice")),
-    }
-}
-
-/// Path and query alone, as they came, also of a request in absolute form.
-fn target(uri: &Uri) -> Uri {
-    uri.path_and_query().map_or_else(Uri::default, |p| Uri::from(p.clone()))
-}
-
-/// Whether a head as it came tells a length.
-fn tells_length(raw: &[u8]) -> bool {
-    let name = b"content-length";
-    let lines =
-        raw.trim_ascii_start().split(|b| *b == b'\n').map(|line| line.strip_suffix(b"\r").unwrap_or(line));
-    lines
-        .take_while(|line| !line.is_empty())
-        .any(|line| line.get(..name.len()).is_some_and(|start| start.eq_ignore_ascii_case(name)))
-}
-
 /// The answer to a client that does not finish its body.
 fn spoilt(fault: Fault) -> Response<Written> {
     match fault {
@@ -761,6 +745,14 @@
     }
 }
 
+/// A backend's answer as its client gets it.
+fn answered_by(status: StatusCode, headers: HeaderMap, body: Written) -> Response<Written> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
 fn plain(status: StatusCode, text: &'static str) -> Response<Written> {
     let mut response = Response::new(Either::Left(Full::new(Bytes::from_static(text.as_bytes()))));
     *response.status_mut() = status;
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -13,9 +13,9 @@
 
 use leadrelay_core::Mean;
 use serde::{Deserialize, Serialize};
+use tracing::warn;
 
 use crate::host::Host;
-use crate::note;
 
 /// Version of the file's form. Another version's file is as good as none.
 const VERSION: u32 = 1;
@@ -100,11 +100,11 @@
         match state {
             Ok(state) if state.version == VERSION => Some(state),
             Ok(state) => {
-                note!("the handover is of version {} and left aside", state.version);
+                warn!(version = state.version, "the handover is of another version and left aside");
                 None
             }
             Err(e) => {
-                note!("the handover is of no use: {e}");
+                warn!(error = e, "the handover is of no use");
                 None
             }
         }
@@ -194,7 +194,7 @@
             succeeded = later.skip(1).any(|p| p.stage == Stage::Serving && runs(p.pid));
         });
         if let Err(e) = done {
-            note!("the handover: {e}");
+            warn!(error = %e, "the handover could not be written");
         }
         succeeded
     }
--- a/crates/proxy/src/host.rs
+++ b/crates/proxy/src/host.rs
@@ -4,21 +4,26 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-
-use crate::note;
+use tracing::warn;
 
 /// One line of the list.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Host {
+    /// Its name, the same at every proxy.
     pub host: String,
     /// Where it is reached; `None` if that can't be read.
     pub dial: Option<SocketAddr>,
+    /// Its zone.
     pub site: Option<String>,
+    /// Its kind of machine.
     pub class: Option<String>,
+    /// Its cell.
     pub block: Option<u64>,
+    /// `up`, `draining` or `removed`.
     pub health: String,
+    /// Its size compared with the others.
     pub share: Option<f64>,
-    /// Unix time in milliseconds; 0 for long ago.
+    /// Unix time of its last start in milliseconds; 0 for long ago.
     pub born_ms: f64,
 }
 
@@ -27,12 +32,12 @@
     pub fn read(entry: &Value) -> Option<Self> {
         let text = |key: &str| entry[key].as_str().map(str::to_owned);
         let Some(host) = text("host") else {
-            note!("discovery: an entry without a name");
+            warn!("an entry of the list has no name");
             return None;
         };
         let dial = entry["dial"].as_str().and_then(|d| d.parse().ok());
         if dial.is_none() && entry["health"] != "removed" {
-            note!("discovery: {host} has no address");
+            warn!(backend = host, "a listed backend has no address");
         }
         Some(Host {
             host,
--- a/crates/proxy/src/inbox.rs
+++ b/crates/proxy/src/inbox.rs
@@ -1,5 +1,6 @@
 //! What the parts of the proxy tell the driver, and where they put it.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use leadrelay_core::settings::Connections;
@@ -10,6 +11,7 @@
 use crate::classes::Hold;
 use crate::host::Host;
 use crate::open_ids::OpenId;
+use crate::trail::Trail;
 use crate::upstream::{Outgoing, Reply};
 
 /// What happens outside the module.
@@ -46,14 +48,24 @@
     pub upload: Option<Duration>,
     pub message: Outgoing,
     pub answer: oneshot::Sender<Answer>,
-    pub open: OpenId,
+    /// Where its access event is written together; `None` for those that leave none.
+    pub trail: Option<Rc<Trail>>,
+    /// Holds its id, unless another open request bears it too.
+    pub open: Option<OpenId>,
 }
 
 /// The one final answer.
 pub enum Answer {
     Served(Reply),
-    /// Trying again is harmless, after a while if one is named.
-    Refused(Option<Millis>),
+    /// Trying again is harmless.
+    Refused {
+        /// After which span.
+        after: Option<Millis>,
+        /// Whether an attempt was made.
+        tried: bool,
+    },
+    /// A backend's error, passed on.
+    Passed(Reply),
     Failed,
 }
 
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -1,55 +1,295 @@
 //! The one owner of what is counted. Any part counts, and any thread reads without waiting for another.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, PoisonError};
 
+use leadrelay_core::{Gauges, Outcome, Standing};
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
 use serde_json::{Value, json};
+use tokio::time::Instant;
 
-/// How a request ended.
-#[derive(Clone, Copy)]
-pub enum End {
-    Completed,
-    Rejected,
+use crate::trail::Trail;
+
+/// Why a request ended. Each ends for exactly one cause.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Cause {
+    /// A backend's answer went out whole.
+    Served,
+    /// Refused by the module without an attempt.
+    RefusedUntried,
+    /// Refused by the module after attempts that did no harm.
+    RefusedTried,
+    /// Refused unseen: too many requests are open.
+    RefusedBusy,
+    /// Given up after an attempt that may have run.
     Failed,
+    /// A backend's own error was passed on.
+    BackendError,
+    /// An answer broke after it had begun.
+    AnswerBroken,
+    /// The client did not finish its body.
+    BodyBroken,
+    /// The client left first.
+    ClientLeft,
+}
+
+impl Cause {
+    /// All of them.
+    pub const ALL: [Cause; 9] = [
+        Cause::Served,
+        Cause::RefusedUntried,
+        Cause::RefusedTried,
+        Cause::RefusedBusy,
+        Cause::Failed,
+        Cause::BackendError,
+        Cause::AnswerBroken,
+        Cause::BodyBroken,
+        Cause::ClientLeft,
+    ];
+
+    /// Its name in figures and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Cause::Served => "served",
+            Cause::RefusedUntried => "refused_untried",
+            Cause::RefusedTried => "refused_tried",
+            Cause::RefusedBusy => "refused_busy",
+            Cause::Failed => "failed",
+            Cause::BackendError => "backend_error",
+            Cause::AnswerBroken => "answer_broken",
+            Cause::BodyBroken => "body_broken",
+            Cause::ClientLeft => "client_left",
+        }
+    }
+
+    /// Under which of the operators' three counts it stands; what ended by its client is in none.
+    fn stat(self) -> Option<&'static str> {
+        match self {
+            Cause::Served => Some("completed"),
+            Cause::RefusedUntried | Cause::RefusedTried | Cause::RefusedBusy => Some("rejected"),
+            Cause::Failed | Cause::BackendError | Cause::AnswerBroken => Some("failed"),
+            Cause::BodyBroken | Cause::ClientLeft => None,
+        }
+    }
+}
+
+/// A label that is one of a few fixed words.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Word(&'static str);
+
+impl EncodeLabelValue for Word {
+    fn encode(&self, encoder: &mut LabelValueEncoder) -> Result<(), std::fmt::Error> {
+        EncodeLabelValue::encode(&self.0, encoder)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByCause {
+    class: String,
+    cause: Word,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByClass {
+    class: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByOutcome {
+    outcome: Word,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByStanding {
+    standing: Word,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BySide {
+    side: Word,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByChoice {
+    choice: Word,
+}
+
+/// Upper bounds of the buckets for times, in seconds.
+const BUCKETS: [f64; 14] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0];
+
+fn times() -> Histogram {
+    Histogram::new(BUCKETS)
 }
 
-/// What ended in a class, by [`End`].
-#[derive(Default)]
-struct Counts([AtomicU64; 3]);
+/// What ended in a class.
+struct Counts {
+    ended: [Counter; Cause::ALL.len()],
+    seconds: Histogram,
+}
 
 /// Counts from the start of the process, and what holds at present.
-#[derive(Default)]
 pub struct Metrics {
+    registry: Registry,
     /// By name, so that a class keeps its counts whatever becomes of it in the configuration.
     classes: Mutex<BTreeMap<String, Arc<Counts>>>,
+    requests: Family<ByCause, Counter>,
+    request_seconds: Family<ByClass, Histogram, fn() -> Histogram>,
+    outcomes: [Counter; Outcome::COUNT],
+    attempt_seconds: Histogram,
     /// Attempts written whole.
-    pub upstream_requests: AtomicU64,
-    pending: AtomicUsize,
-    /// Listed backends, and those of them that are avoided.
-    pub members: AtomicUsize,
-    pub members_unavailable: AtomicUsize,
-    pub config_reloads: AtomicU64,
-    pub config_reload_errors: AtomicU64,
+    pub upstream_requests: Counter,
+    /// Connections opened to backends.
+    pub dials: Counter,
+    pending: Gauge,
+    standings: [Gauge; Standing::ALL.len()],
+    choices: [Counter; 4],
+    waiting: Gauge,
+    running: Gauge,
+    retry_budget: Gauge<f64, AtomicU64>,
+    connections: [Gauge<i64, AtomicI64>; 2],
+    /// Files taken and turned down.
+    pub config_reloads: Counter,
+    /// Files turned down.
+    pub config_reload_errors: Counter,
     /// Whether the process can serve.
     pub ready: AtomicBool,
 }
 
-/// A request that has been taken. It ends in one count, or in none if its client has left.
+/// The names of [`leadrelay_core::Choices`].
+const CHOICES: [&str; 4] = ["at_once", "past_threshold", "urgent", "held"];
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("leadrelay");
+        let requests = Family::<ByCause, Counter>::default();
+        registry.register(
+            "requests",
+            "Requests that have ended, by class and the cause of their end",
+            requests.clone(),
+        );
+        let request_seconds: Family<ByClass, Histogram, fn() -> Histogram> =
+            Family::new_with_constructor(times);
+        let help = "Time from a request's last byte to the end of its answer, those left by their clients not included";
+        registry.register_with_unit("request", help, Unit::Seconds, request_seconds.clone());
+        let by_outcome = Family::<ByOutcome, Counter>::default();
+        registry.register("attempts", "Attempts at backends that have ended, by outcome", by_outcome.clone());
+        let outcomes =
+            Outcome::ALL.map(|o| by_outcome.get_or_create_owned(&ByOutcome { outcome: Word(o.name()) }));
+        let attempt_seconds = times();
+        let help = "Time from the send of an attempt to the first byte of its answer, served ones only";
+        registry.register_with_unit("attempt", help, Unit::Seconds, attempt_seconds.clone());
+        let upstream_requests = Counter::default();
+        registry.register(
+            "attempts_written",
+            "Attempts written whole to backends",
+            upstream_requests.clone(),
+        );
+        let dials = Counter::default();
+        registry.register("backend_dials", "Connections opened to backends", dials.clone());
+        let pending = Gauge::default();
+        registry.register("requests_pending", "Requests taken and not ended", pending.clone());
+        let by_standing = Family::<ByStanding, Gauge>::default();
+        registry.register("members", "Listed backends, by how they are treated now", by_standing.clone());
+        let standings =
+            Standing::ALL.map(|s| by_standing.get_or_create_owned(&ByStanding { standing: Word(s.name()) }));
+        let by_choice = Family::<ByChoice, Counter>::default();
+        let help = "What the two-speed threshold decided at each look at a waiting request";
+        registry.register("choices", help, by_choice.clone());
+        let choices = CHOICES.map(|c| by_choice.get_or_create_owned(&ByChoice { choice: Word(c) }));
+        let waiting = Gauge::default();
+        registry.register("requests_waiting", "Requests in the proxy's own queue", waiting.clone());
+        let running = Gauge::default();
+        registry.register("requests_running", "Requests with an attempt out", running.clone());
+        let retry_budget = Gauge::<f64, AtomicU64>::default();
+        registry.register(
+            "retry_budget",
+            "Further attempts that the budget allows now",
+            retry_budget.clone(),
+        );
+        let by_side = Family::<BySide, Gauge<i64, AtomicI64>>::default();
+        registry.register("connections", "Open connections", by_side.clone());
+        let connections =
+            ["clients", "backends"].map(|s| by_side.get_or_create_owned(&BySide { side: Word(s) }));
+        let (config_reloads, config_reload_errors) = (Counter::default(), Counter::default());
+        registry.register("config_reloads", "Configuration files taken at SIGHUP", config_reloads.clone());
+        let help = "Configuration files turned down at SIGHUP";
+        registry.register("config_reload_errors", help, config_reload_errors.clone());
+        Metrics {
+            registry,
+            classes: Mutex::default(),
+            requests,
+            request_seconds,
+            outcomes,
+            attempt_seconds,
+            upstream_requests,
+            dials,
+            pending,
+            standings,
+            choices,
+            waiting,
+            running,
+            retry_budget,
+            connections,
+            config_reloads,
+            config_reload_errors,
+            ready: AtomicBool::new(false),
+        }
+    }
+}
+
+/// A request that has been taken. It ends for one cause; dropped without one, its client has left.
 pub struct Taken {
     metrics: Arc<Metrics>,
     counts: Arc<Counts>,
+    came: Instant,
+    /// What the access event tells; `None` for those that are not sampled.
+    trail: Option<Rc<Trail>>,
+    ended: bool,
 }
 
 impl Taken {
-    pub fn end(self, end: End) {
-        self.counts.0[end as usize].fetch_add(1, Relaxed);
+    /// Follows the request for its access event.
+    pub fn follow(&mut self, trail: Option<Rc<Trail>>) {
+        self.trail = trail;
+    }
+
+    /// Its time begins anew, with the last byte of its body.
+    pub fn restart(&mut self, came: Instant) {
+        self.came = came;
+    }
+
+    /// Counts its end.
+    pub fn end(mut self, cause: Cause) {
+        self.count(cause);
+    }
+
+    fn count(&mut self, cause: Cause) {
+        self.ended = true;
+        let took = self.came.elapsed();
+        self.counts.ended[cause as usize].inc();
+        if cause != Cause::ClientLeft {
+            self.counts.seconds.observe(took.as_secs_f64());
+        }
+        if let Some(trail) = &self.trail {
+            trail.tell(cause, took);
+        }
     }
 }
 
 impl Drop for Taken {
     fn drop(&mut self) {
-        self.metrics.pending.fetch_sub(1, Relaxed);
+        if !self.ended {
+            self.count(Cause::ClientLeft);
+        }
+        self.metrics.pending.dec();
     }
 }
 
@@ -57,10 +297,17 @@
     /// The counts of a class, which are shown from now on.
     fn counts(&self, class: &str) -> Arc<Counts> {
         let mut classes = self.classes.lock().unwrap_or_else(PoisonError::into_inner);
-        match classes.get(class) {
-            Some(counts) => counts.clone(),
-            None => classes.entry(class.to_owned()).or_default().clone(),
+        if let Some(counts) = classes.get(class) {
+            return counts.clone();
         }
+        let by_cause = |cause: Cause| {
+            let labels = ByCause { class: class.to_owned(), cause: Word(cause.name()) };
+            self.requests.get_or_create_owned(&labels)
+        };
+        let seconds = self.request_seconds.get_or_create_owned(&ByClass { class: class.to_owned() });
+        let counts = Arc::new(Counts { ended: Cause::ALL.map(by_cause), seconds });
+        classes.insert(class.to_owned(), counts.clone());
+        counts
     }
 
     /// Shows a class before its first request has ended.
@@ -68,30 +315,88 @@
         self.counts(class);
     }
 
-    /// Notes that a request has been taken.
-    pub fn take(self: &Arc<Self>, class: &str) -> Taken {
-        self.pending.fetch_add(1, Relaxed);
-        Taken { metrics: self.clone(), counts: self.counts(class) }
+    /// Notes that a request has been taken, whose last byte came at `came`.
+    pub fn take(self: &Arc<Self>, class: &str, came: Instant) -> Taken {
+        self.pending.inc();
+        Taken { metrics: self.clone(), counts: self.counts(class), came, trail: None, ended: false }
+    }
+
+    /// Notes how an attempt ended, and after which span in milliseconds.
+    pub fn attempt(&self, outcome: Outcome, latency: f64) {
+        self.outcomes[outcome as usize].inc();
+        if outcome == Outcome::Served {
+            self.attempt_seconds.observe(latency / 1000.0);
+        }
+    }
+
+    /// Notes what holds in the module at present.
+    pub fn gauge(&self, now: &Gauges) {
+        for (gauge, count) in self.standings.iter().zip(now.standings) {
+            gauge.set(count as i64);
+        }
+        for (counter, count) in self.choices.iter().zip(now.choices) {
+            counter.inner().store(count, Relaxed);
+        }
+        self.waiting.set(now.waiting as i64);
+        self.running.set(now.running as i64);
+        self.retry_budget.set(now.retry_budget);
+    }
+
+    /// Notes how many connections are open.
+    pub fn connected(&self, clients: usize, backends: usize) {
+        self.connections[0].set(clients as i64);
+        self.connections[1].set(backends as i64);
+    }
+
+    /// How many requests have ended for a cause, over all classes.
+    pub fn ended(&self, cause: Cause) -> u64 {
+        let classes = self.classes.lock().unwrap_or_else(PoisonError::into_inner);
+        classes.values().map(|c| c.ended[cause as usize].get()).sum()
+    }
+
+    /// What the threshold has decided, named as in [`leadrelay_core::Choices`].
+    pub fn choices(&self) -> [(&'static str, u64); 4] {
+        std::array::from_fn(|i| (CHOICES[i], self.choices[i].get()))
+    }
+
+    /// Requests that wait in the proxy's own queue.
+    pub fn waiting(&self) -> i64 {
+        self.waiting.get()
+    }
+
+    /// All figures in the text form of OpenMetrics, which Prometheus reads.
+    pub fn openmetrics(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = prometheus_client::encoding::text::encode(&mut text, &self.registry);
+        text
     }
 
     /// All figures under the names that the operators use.
     pub fn report(&self) -> Value {
         let classes = self.classes.lock().unwrap_or_else(PoisonError::into_inner);
-        let ended = |end: End| {
-            let count =
-                |(name, c): (&String, &Arc<Counts>)| (name.clone(), c.0[end as usize].load(Relaxed).into());
-            Value::Object(classes.iter().map(count).collect())
+        let ended = |stat: &str| {
+            let of = |c: &Counts| {
+                let causes = Cause::ALL.into_iter().filter(|cause| cause.stat() == Some(stat));
+                causes.map(|cause| c.ended[cause as usize].get()).sum::<u64>()
+            };
+            Value::Object(classes.iter().map(|(name, c)| (name.clone(), of(c).into())).collect())
+        };
+        let members = |avoided: bool| -> i64 {
+            let counted =
+                Standing::ALL.iter().zip(&self.standings).filter(|(s, _)| !avoided || s.is_avoided());
+            counted.map(|(_, gauge)| gauge.get()).sum()
         };
         json!({
-            "completed": ended(End::Completed),
-            "rejected": ended(End::Rejected),
-            "failed": ended(End::Failed),
-            "upstream_requests": self.upstream_requests.load(Relaxed),
-            "pending": self.pending.load(Relaxed),
-            "members": self.members.load(Relaxed),
-            "members_unavailable": self.members_unavailable.load(Relaxed),
-            "config_reloads": self.config_reloads.load(Relaxed),
-            "config_reload_errors": self.config_reload_errors.load(Relaxed),
+            "completed": ended("completed"),
+            "rejected": ended("rejected"),
+            "failed": ended("failed"),
+            "upstream_requests": self.upstream_requests.get(),
+            "pending": self.pending.get(),
+            "members": members(false),
+            "members_unavailable": members(true),
+            "config_reloads": self.config_reloads.get(),
+            "config_reload_errors": self.config_reload_errors.get(),
         })
     }
 }
@@ -101,16 +406,48 @@
     use super::*;
 
     #[test]
-    fn a_request_is_pending_until_it_ends_in_one_count_or_none() {
+    fn a_request_is_pending_until_it_ends_for_one_cause() {
         let metrics = Arc::new(Metrics::default());
         metrics.show("idle");
-        let (served, left) = (metrics.take("page"), metrics.take("page"));
+        let take = || metrics.take("page", Instant::now());
+        let (served, left) = (take(), take());
         assert_eq!(metrics.report()["pending"], 2);
-        served.end(End::Completed);
+        served.end(Cause::Served);
         drop(left);
         let report = metrics.report();
         assert_eq!(report["pending"], 0);
         assert_eq!(report["completed"], json!({"idle": 0, "page": 1}));
         assert_eq!((&report["rejected"]["page"], &report["failed"]["page"]), (&json!(0), &json!(0)));
+        assert_eq!((metrics.ended(Cause::Served), metrics.ended(Cause::ClientLeft)), (1, 1));
+    }
+
+    #[test]
+    fn both_forms_tell_the_same_counts() {
+        let metrics = Arc::new(Metrics::default());
+        for cause in Cause::ALL {
+            metrics.take("page", Instant::now()).end(cause);
+        }
+        metrics.attempt(Outcome::Served, 20.0);
+        let mut now = Gauges::default();
+        now.standings[Standing::Ill as usize] = 2;
+        now.standings[Standing::InUse as usize] = 5;
+        metrics.gauge(&now);
+        let text = metrics.openmetrics();
+        for cause in Cause::ALL {
+            let line = format!("leadrelay_requests_total{{class=\"page\",cause=\"{}\"}} 1\n", cause.name());
+            assert!(text.contains(&line), "{line} in {text}");
+        }
+        for line in [
+            "leadrelay_members{standing=\"ill\"} 2",
+            "leadrelay_attempts_total{outcome=\"served\"} 1",
+            "leadrelay_attempt_seconds_bucket{le=\"0.025\"} 1",
+            "leadrelay_request_seconds_count{class=\"page\"} 8",
+            "# EOF",
+        ] {
+            assert!(text.contains(line), "{line} in {text}");
+        }
+        let report = metrics.report();
+        assert_eq!((&report["members"], &report["members_unavailable"]), (&json!(7), &json!(2)));
+        assert_eq!((&report["rejected"]["page"], &report["failed"]["page"]), (&json!(3), &json!(3)));
     }
 }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 
 use tokio::net::UdpSocket;
+use tracing::{error, info};
 
 use crate::config::PeerAddresses;
 use crate::inbox::{Inbox, Input};
-use crate::note;
 
 const MOST: usize = 256; // bytes of a message, by the protocol
 
@@ -31,9 +31,16 @@
     /// Tells every other proxy. What the socket can't take at once is lost, as on the way.
     pub fn tell(&self, bytes: &[u8]) {
         if bytes.len() > MOST {
-            note!("a message of {} bytes is not sent", bytes.len());
-        } else if let Err(e) = self.socket.try_send_to(bytes, self.addresses.all) {
-            note!("peers: {e}");
+            error!(bytes = bytes.len(), "a message is too long and not sent");
+            return;
+        }
+        let own = self.addresses.listen;
+        let others = self.addresses.peers.iter().copied().filter(|p| *p != own);
+        let targets = self.addresses.all.map_or_else(|| others.collect(), |all| vec![all]);
+        for target in targets {
+            if let Err(e) = self.socket.try_send_to(bytes, target) {
+                info!(%target, error = %e, "a message is not sent");
+            }
         }
     }
 
@@ -46,11 +53,11 @@
                     Some(number) if size <= MOST => {
                         inbox.put(Input::Datagram { from: number as u32, bytes: buffer[..size].to_vec() });
                     }
-                    _ => note!("a datagram of {size} bytes or more from {from} is dropped"),
+                    _ => info!(%from, size, "a datagram from elsewhere or too long is dropped"),
                 },
                 // An earlier send's refusal may be reported here.
                 Err(e) => {
-                    note!("peers: {e}");
+                    info!(error = %e, "a message did not arrive");
                     tokio::time::sleep(std::time::Duration::from_millis(10)).await;
                 }
             }
--- /dev/null
+++ b/crates/proxy/src/server.rs
@@ -0,0 +1,329 @@
+//! One proxy from its start to its end: opens all it needs, or nothing, and then runs.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use leadrelay_core::{Balancer, Discovery, Scope};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::task::{LocalSet, spawn_local};
+use tracing::{info, warn};
+
+use crate::classes::Classes;
+use crate::config::{self, Config, Dialect, Origin, Source};
+use crate::driver::{Driver, Parts};
+use crate::error::Error;
+use crate::handover::{self, Handover, State as Left};
+use crate::inbox::{Inbox, Input};
+use crate::metrics::Metrics;
+use crate::{admin, discovery, flow, frontend, peers, upstream};
+
+/// The part of the memory, one in so many, for pieces of bodies on their way, and again for what is read ahead.
+const POOL: usize = 12;
+/// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch.
+const RESERVE: usize = 32;
+
+/// What a reload concerns.
+struct Reload {
+    path: PathBuf,
+    /// What the process goes by.
+    running: Config,
+    discovery: Option<watch::Sender<SocketAddr>>,
+    classes: Rc<RefCell<Classes>>,
+    access: Rc<Cell<f64>>,
+    inbox: Inbox,
+    metrics: Arc<Metrics>,
+}
+
+impl Reload {
+    /// Reads the file again at each SIGHUP.
+    async fn run(mut self, mut hup: Signal) {
+        while hup.recv().await.is_some() {
+            match self.take() {
+                Ok(()) => self.metrics.config_reloads.inc(),
+                Err(e) => {
+                    warn!(error = e, "the configuration stays as it was");
+                    self.metrics.config_reload_errors.inc()
+                }
+            };
+        }
+    }
+
+    /// Takes all of the file or nothing: where the backends are and the settings. All else needs a new start.
+    fn take(&mut self) -> Result<(), String> {
+        let new = config::reread(&self.path, &self.running.origin).map_err(|e| e.to_string())?;
+        match (&new.source, &self.running.source) {
+            (Source::Discovery(_), Source::Discovery(_)) | (Source::Fixed(_), Source::Fixed(_)) => {}
+            _ => return Err("a change between 'backends' and 'discovery' needs a new start".into()),
+        }
+        if matches!(new.origin, Origin::File) {
+            let fixed = |c: &Config| (c.listen, c.admin, c.sockets, c.memory, c.logging.filter.clone());
+            if fixed(&new) != fixed(&self.running) {
+                warn!("listen, admin, limits, peers, zone and the log's filter change only with a new start");
+            }
+        }
+        let mut classes = self.classes.borrow_mut();
+        let retuning = classes.retune(&new.names, new.settings.clone(), &new.dialect)?;
+        drop(classes);
+        new.names.classes.iter().for_each(|class| self.metrics.show(class));
+        self.access.set(new.logging.access);
+        // Requests that go by the new rules come after this.
+        self.inbox.put(Input::Retune(Box::new((retuning, new.connections))));
+        match &new.source {
+            Source::Discovery(address) => {
+                info!(%address, "the configuration names discovery");
+                if let Some(discovery) = &self.discovery {
+                    discovery.send_if_modified(|old| std::mem::replace(old, *address) != *address);
+                }
+            }
+            Source::Fixed(hosts) => {
+                info!(backends = hosts.len(), "the configuration names backends");
+                self.inbox.put(Input::List(Scope::Full, hosts.clone()));
+            }
+        }
+        self.running = new;
+        Ok(())
+    }
+}
+
+/// What a proxy needs of the system, opened.
+struct Opened {
+    listener: TcpListener,
+    handover: Option<Rc<Handover>>,
+    /// What a predecessor has left.
+    left: Option<Left>,
+    peers: Option<Rc<peers::Peers>>,
+    admin: Option<std::net::TcpListener>,
+}
+
+impl Opened {
+    /// Opens all of it, or nothing.
+    fn new(config: &Config) -> Result<Self, Error> {
+        let socket =
+            std::env::var_os("NODE_PASSED_SOCKET").filter(|_| matches!(config.origin, Origin::Platform(_)));
+        let passed = socket.is_some();
+        let (listener, handover, left) = match socket {
+            Some(number) => {
+                let listener = handover::passed(&number).map_err(Error::Environment)?;
+                let listener = TcpListener::from_std(listener).map_err(Error::system("the passed socket"))?;
+                let folder = std::env::temp_dir();
+                match Handover::open(&folder, &config.name) {
+                    Ok((handover, left)) => (listener, Some(Rc::new(handover)), left),
+                    // Better to serve than not to start; a successor will know nothing.
+                    Err(e) => {
+                        warn!(folder = %folder.display(), error = %e, "no handover");
+                        (listener, None, None)
+                    }
+                }
+            }
+            None => {
+                let what = format!("cannot listen on {}", config.listen);
+                (frontend::listen(config.listen).map_err(Error::system(what))?, None, None)
+            }
+        };
+        let peers = config.peers.clone().map(|addresses| {
+            let what = format!("cannot listen for peers on {}", addresses.listen);
+            peers::Peers::bind(addresses, passed).map_err(Error::system(what))
+        });
+        let admin = config.admin.map(|address| {
+            let what = format!("cannot listen for operators on {address}");
+            admin::listen(address).map_err(Error::system(what))
+        });
+        Ok(Opened { listener, handover, left, peers: peers.transpose()?, admin: admin.transpose()? })
+    }
+}
+
+/// Where a proxy listens.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// For clients.
+    pub clients: SocketAddr,
+    /// For operators.
+    pub admin: Option<SocketAddr>,
+}
+
+/// Runs a proxy until `stop`; `path` is read again at SIGHUP. Tells where it listens once it does.
+async fn run(
+    config: Config, reload: Option<(PathBuf, Signal)>, metrics: Arc<Metrics>, ready: impl FnOnce(Addresses),
+    stop: impl Future<Output = ()>,
+) -> Result<(), Error> {
+    let Opened { listener, handover, left, peers, admin } = Opened::new(&config)?;
+    let clients = listener.local_addr().map_err(Error::system("the listener"))?;
+    let (inbox, inputs) = Inbox::new();
+    let (orders, commands) = mpsc::unbounded_channel();
+    // After this nothing fails any more.
+    let admin = match admin {
+        Some(listener) => {
+            let desk = admin::Desk { commands: orders, metrics: metrics.clone() };
+            Some(admin::start(listener, desk).map_err(Error::system("the second address"))?)
+        }
+        None => None,
+    };
+    config.names.classes.iter().for_each(|class| metrics.show(class));
+    let classes = Classes::new(&config.names, &config.settings.classes, &config.dialect);
+    let classes = Rc::new(RefCell::new(classes));
+    let access = Rc::new(Cell::new(config.logging.access));
+    let discovery = match &config.source {
+        Source::Discovery(address) => Some(watch::channel(*address)),
+        Source::Fixed(_) => None,
+    };
+    let (moves, addresses) = discovery.unzip();
+    if let Some((path, hup)) = reload {
+        let reload = Reload {
+            path,
+            running: config.clone(),
+            discovery: moves,
+            classes: classes.clone(),
+            access: access.clone(),
+            inbox: inbox.clone(),
+            metrics: metrics.clone(),
+        };
+        spawn_local(reload.run(hup));
+    }
+    if let Some(peers) = &peers {
+        spawn_local(peers.clone().listen(inbox.clone()));
+    }
+    let shared = (config.sockets / 2).saturating_sub(RESERVE).max(RESERVE / 2);
+    let whole = config.sockets.saturating_sub(RESERVE).max(RESERVE);
+    let budget = frontend::Budget { whole, shared, handover: handover.clone() };
+    // The module sends to a backend only while it has a free slot there, but clients come as they like: most
+    // of the budget is theirs.
+    // Two processes share the memory during an upgrade.
+    let pool = || flow::Pool::new(config.memory / POOL);
+    let memory = flow::Memory { pieces: pool(), ahead: pool() };
+    let plain = matches!(config.dialect, Dialect::Plain(_));
+    let upstreams = upstream::Upstreams::new(&config.connections, whole / 4, plain, metrics.clone(), memory);
+    let upstreams = Rc::new(upstreams);
+    let drained = Rc::new(Cell::new(false));
+    let asked = Rc::new(Notify::new());
+    let parts = Parts {
+        commands,
+        classes: classes.clone(),
+        inbox: inbox.clone(),
+        upstreams: upstreams.clone(),
+        peers,
+        discovery: addresses.clone(),
+        watch: asked.clone(),
+        metrics: metrics.clone(),
+        drained: drained.clone(),
+        handover,
+    };
+    let pushed = config.settings.discovery == Discovery::Pushed;
+    info!(
+        name = config.name,
+        listen = %clients,
+        admin = admin.map(tracing::field::display),
+        proxy = config.settings.me,
+        proxies = config.settings.proxies,
+        classes = config.settings.classes.len(),
+        tenants = config.settings.tenants.len(),
+        "the proxy listens"
+    );
+    let balancer = Balancer::new(config.settings, config.seed);
+    let mut driver = Driver::new(balancer, config.names, parts);
+    match config.source {
+        Source::Fixed(hosts) => inbox.put(Input::List(Scope::Full, hosts)),
+        Source::Discovery(_) if left.as_ref().is_none_or(|left| left.hosts.is_empty()) => {
+            let known = discovery::remembered(&config.known).unwrap_or_default();
+            inbox.put(Input::List(Scope::Cached, known));
+        }
+        Source::Discovery(_) => {}
+    }
+    if let Some(left) = left {
+        driver.resume(left);
+    }
+    let driver = spawn_local(driver.run(inputs));
+    if let Some(addresses) = addresses {
+        spawn_local(discovery::follow(addresses, inbox.clone(), (!pushed).then_some(asked)));
+    }
+    let front = frontend::Frontend::new(inbox, classes, upstreams, budget, metrics, drained, access);
+    ready(Addresses { clients, admin });
+    // Without its module a proxy could only fail everything: then it is better dead and started anew.
+    tokio::select! {
+        () = front.serve(listener, stop) => Ok(()),
+        end = driver => Err(Error::Driver(format!("{end:?}"))),
+    }
+}
+
+fn on_runtime<T>(work: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(Error::system("the runtime"))?;
+    let outcome = LocalSet::new().block_on(&runtime, work);
+    runtime.shutdown_background();
+    outcome
+}
+
+/// Runs a proxy in this thread until SIGTERM or SIGINT, when it finishes what it has taken. At SIGHUP it reads `path`
+/// again.
+///
+/// # Errors
+/// If something that it needs can't be opened, before it has taken anything; or if its decisions end.
+pub fn serve(path: &Path, config: Config) -> Result<(), Error> {
+    on_runtime(async {
+        let signal = |kind, name: &str| signal(kind).map_err(Error::system(name));
+        let mut term = signal(SignalKind::terminate(), "SIGTERM")?;
+        let mut int = signal(SignalKind::interrupt(), "SIGINT")?;
+        let hup = signal(SignalKind::hangup(), "SIGHUP")?;
+        let stop = async move {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = int.recv() => {}
+            }
+        };
+        run(config, Some((path.to_owned(), hup)), Arc::default(), |_| {}, stop).await
+    })
+}
+
+/// A proxy that runs in a thread of this process.
+pub struct Running {
+    /// Where it listens.
+    pub addresses: Addresses,
+    /// What it counts.
+    pub metrics: Arc<Metrics>,
+    stop: oneshot::Sender<()>,
+    thread: JoinHandle<Result<(), Error>>,
+}
+
+/// Starts a proxy in a thread of its own, and returns once it listens. It heeds no signals.
+///
+/// # Errors
+/// As [`serve`].
+pub fn spawn(config: Config) -> Result<Running, Error> {
+    let (stop, stopped) = oneshot::channel::<()>();
+    let (ready, addresses) = std::sync::mpsc::channel();
+    let metrics = Arc::<Metrics>::default();
+    let own = metrics.clone();
+    let work = move || {
+        let ready = move |at| {
+            let _ = ready.send(at); // whoever waits for it has not gone
+        };
+        let stop = async move { drop(stopped.await) };
+        on_runtime(run(config, None, own, ready, stop))
+    };
+    let thread = std::thread::Builder::new().name("proxy".into()).spawn(work);
+    let thread = thread.map_err(Error::system("a thread for the proxy"))?;
+    match addresses.recv() {
+        Ok(addresses) => Ok(Running { addresses, metrics, stop, thread }),
+        Err(_) => Err(ended(thread).err().unwrap_or_else(|| Error::Driver("at its start".into()))),
+    }
+}
+
+fn ended(thread: JoinHandle<Result<(), Error>>) -> Result<(), Error> {
+    thread.join().unwrap_or_else(|_| Err(Error::Driver("a panic".into())))
+}
+
+impl Running {
+    /// Stops it; returns once it has answered all that it had taken.
+    ///
+    /// # Errors
+    /// If it had ended before.
+    pub fn stop(self) -> Result<(), Error> {
+        let _ = self.stop.send(()); // it may have ended by itself, which its thread tells
+        ended(self.thread)
+    }
+}
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -7,7 +7,6 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::Ordering::Relaxed;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -25,10 +24,10 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tracing::info;
 
 use crate::flow::{Flow, Held, MOST, Memory, Part, Source};
 use crate::metrics::Metrics;
-use crate::note;
 
 /// Bytes read at once, and of a head at most.
 const BUFFER: usize = 32 << 10;
@@ -82,6 +81,7 @@
 pub struct Reply {
     /// When its first bytes came. A backend's speed is told by them, not by how long it writes.
     pub begun: Instant,
+    pub status: StatusCode,
     pub headers: HeaderMap,
     pub body: Written,
 }
@@ -255,7 +255,7 @@
         let before = self.complete();
         self.follow(bytes);
         if let Some(metrics) = self.metrics.as_ref().filter(|_| !before && self.complete()) {
-            metrics.upstream_requests.fetch_add(1, Relaxed);
+            metrics.upstream_requests.inc();
         }
     }
 
@@ -345,28 +345,30 @@
 /// What all attempts share: time-outs and the budget of sockets.
 pub struct Upstreams {
     pub memory: Memory,
+    /// Whether any answer but a server's error counts as served, as its backend worded it.
+    plain: bool,
     metrics: Arc<Metrics>,
     dial_timeout: Cell<Duration>,
     idle_limit: Cell<Duration>,
     sockets: Arc<Semaphore>,
     most: usize,
-    /// Connections opened since this was last asked.
-    dials: Cell<u32>,
     /// Asked to close an idle connection when the budget has run out.
     endpoints: RefCell<Vec<Rc<Endpoint>>>,
 }
 
 impl Upstreams {
-    pub fn new(connections: &Connections, sockets: usize, metrics: Arc<Metrics>, memory: Memory) -> Self {
+    pub fn new(
+        connections: &Connections, sockets: usize, plain: bool, metrics: Arc<Metrics>, memory: Memory,
+    ) -> Self {
         let (dial_timeout, idle_limit) = spans(connections);
         Upstreams {
             memory,
+            plain,
             metrics,
             dial_timeout: Cell::new(dial_timeout),
             idle_limit: Cell::new(idle_limit),
             sockets: Arc::new(Semaphore::new(sockets)),
             most: sockets,
-            dials: Cell::new(0),
             endpoints: RefCell::default(),
         }
     }
@@ -383,11 +385,6 @@
         self.most - self.sockets.available_permits()
     }
 
-    /// Connections opened since the last call.
-    pub fn dialed(&self) -> u32 {
-        self.dials.take()
-    }
-
     /// Adds a backend's process to those whose idle connections are looked after.
     pub fn add(&self, endpoint: &Rc<Endpoint>) {
         self.endpoints.borrow_mut().push(endpoint.clone());
@@ -428,7 +425,7 @@
             self.close_idle();
         }
         let permit = self.sockets.clone().acquire_owned().await.map_err(io::Error::other)?;
-        self.dials.set(self.dials.get() + 1);
+        self.metrics.dials.inc();
         let stream = Rc::new(TcpStream::connect(address).await?);
         stream.set_nodelay(true)?;
         let meter = Rc::new(Meter { metrics: Some(self.metrics.clone()), ..Meter::default() });
@@ -445,13 +442,14 @@
     }
 
     /// Passes an answer on, as fast as its client reads; whether the backend has finished it.
-    async fn pass_on(&self, begun: Bytes, mut rest: Incoming, source: Source) -> bool {
+    async fn pass_on(&self, begun: Bytes, mut rest: Incoming, source: Source, backend: SocketAddr) -> bool {
+        let backend = tracing::field::display(backend);
         let mut next = begun;
         let mut passed = 0;
         loop {
             passed += next.len() as u64;
             if passed > MOST {
-                note!("an answer broke: it is too long");
+                info!(%backend, "an answer broke: it is too long");
                 return false;
             }
             // Where nobody wants the rest, the connection is of no more use.
@@ -466,11 +464,11 @@
                     return true;
                 }
                 Ok(Some(Err(e))) => {
-                    note!("an answer broke: {e}");
+                    info!(%backend, error = %e, "an answer broke");
                     return false;
                 }
                 Err(_) => {
-                    note!("an answer broke: its backend is silent");
+                    info!(%backend, "an answer broke: its backend is silent");
                     return false;
                 }
             };
@@ -498,7 +496,7 @@
         let answer = async {
             tokio::select! {
                 biased;
-                answer = exchange(&mut connection.sender, request, &meter) => answer,
+                answer = exchange(&mut connection.sender, request, &meter, self.plain) => answer,
                 () = meter.stalled() => Err("the answer has no end".into()),
             }
         };
@@ -509,17 +507,22 @@
         match answer {
             Ok(Ok((outcome, reply, keep))) => {
                 let keep = match reply {
-                    Some((begun, headers, Answered::Whole(body))) => {
+                    Some((begun, status, headers, Answered::Whole(body))) => {
                         let body = Either::Left(Full::new(body));
-                        report(outcome, Some(Reply { begun, headers, body }));
+                        report(outcome, Some(Reply { begun, status, headers, body }));
                         keep
                     }
+                    // An error that is too long to be held: what it says is not waited for.
+                    Some((.., Answered::Begun(..))) if outcome != Outcome::Served => {
+                        report(outcome, None);
+                        false
+                    }
                     // From here on its time is the client's, and the module has learnt what it can.
-                    Some((begun, headers, Answered::Begun(read, rest))) => {
+                    Some((begun, status, headers, Answered::Begun(read, rest))) => {
                         let length = rest.size_hint().exact().map(|rest| read.len() as u64 + rest);
                         let (source, flow) = Flow::new(length);
-                        report(outcome, Some(Reply { begun, headers, body: Either::Right(flow) }));
-                        keep && self.pass_on(read, rest, source).await
+                        report(outcome, Some(Reply { begun, status, headers, body: Either::Right(flow) }));
+                        keep && self.pass_on(read, rest, source, endpoint.address).await
                     }
                     None => {
                         report(outcome, None);
@@ -537,7 +540,7 @@
             }
             Ok(Err(_)) | Err(_) if !meter.complete() => report(Outcome::ConnectFailed, None),
             Ok(Err(e)) => {
-                note!("an answer broke: {e}");
+                info!(backend = %endpoint.address, error = e, "an answer broke");
                 report(Outcome::Reset, None);
             }
             Err(_) => report(Outcome::TimedOut, None), // the connection is dropped, never used again
@@ -554,7 +557,7 @@
 /// The time for an answer is over.
 struct Late;
 
-type Exchanged = (Outcome, Option<(Instant, HeaderMap, Answered)>, bool);
+type Exchanged = (Outcome, Option<(Instant, StatusCode, HeaderMap, Answered)>, bool);
 
 /// An exchange whose request still comes: its time ends a while after the request's last byte.
 async fn within<T>(meter: &Meter, answer: impl Future<Output = T>) -> Result<T, Late> {
@@ -576,8 +579,9 @@
 /// Sends a request and reads its answer, as far as it is held back; the flag says whether the connection may be
 /// kept.
 async fn exchange(
-    sender: &mut SendRequest<Written>, request: Request<Written>, meter: &Meter,
+    sender: &mut SendRequest<Written>, request: Request<Written>, meter: &Meter, plain: bool,
 ) -> Result<Exchanged, String> {
+    let bodiless = request.method() == Method::HEAD;
     let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
     let begun = meter.begins.get().unwrap_or_else(Instant::now);
     let (head, body) = answer.into_parts();
@@ -591,18 +595,25 @@
     };
     let mut unseen = head.headers.get_all("x-not-processed").iter();
     let unseen = unseen.next().is_some_and(|v| v.as_bytes().trim_ascii() == b"1") && unseen.next().is_none();
+    let passed = |body| {
+        let mut headers = head.headers;
+        // The length that a head alone tells is that of another answer.
+        let told = headers.get(header::CONTENT_LENGTH).filter(|_| bodiless).cloned();
+        strip(&mut headers);
+        headers.extend(told.map(|length| (header::CONTENT_LENGTH, length)));
+        Some((begun, head.status, headers, body))
+    };
     Ok(match head.status {
-        StatusCode::OK => {
-            let mut headers = head.headers;
-            strip(&mut headers);
-            (Outcome::Served, Some((begun, headers, body)), true)
+        StatusCode::OK => (Outcome::Served, passed(body), true),
+        status if plain && status.as_u16() < 500 && status != StatusCode::SWITCHING_PROTOCOLS => {
+            (Outcome::Served, passed(body), true)
         }
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unseen => {
             (Outcome::Full, None, matches!(body, Answered::Whole(_)))
         }
         status => {
             let keep = status != StatusCode::SWITCHING_PROTOCOLS && matches!(body, Answered::Whole(_));
-            (Outcome::Error, None, keep)
+            (Outcome::Error, if plain && keep { passed(body) } else { None }, keep)
         }
     })
 }
