--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -205,7 +205,8 @@
 #[test]
 fn what_can_not_be_used_is_told_in_one_message_with_the_right_code() {
     let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let taken = taken.local_addr().expect("an address");
+    let listener = taken;
+    let taken = listener.local_addr().expect("an address");
     let file = |listen: &str, more: &str| {
         File::new(&format!("listen = \"{listen}\"\n[[backends]]\naddress = \"127.0.0.1:1\"\n{more}"))
     };
@@ -248,7 +249,7 @@
         (missing.status.code(), text(&missing.stderr).contains("/nonexistent.toml: ")),
         (Some(2), true)
     );
-    drop(taken);
+    drop(listener);
 }
 
 #[test]
