--- a/crates/proxy/src/config/check.rs
+++ b/crates/proxy/src/config/check.rs
@@ -1,7 +1,8 @@
-//! Holds a file against the schema, and puts what the validator says into words.
+//! Holds a file against the schema, and puts what does not fit into words.
+//!
+//! `schemars` makes the schema from our own types, so it uses only the part of JSON Schema that is read here; a test
+//! fails on a keyword that is not.
 
-use jsonschema::error::{TypeKind, ValidationErrorKind as Kind};
-use jsonschema::{ValidationError, types::JsonType};
 use serde_json::Value;
 
 use super::fault::{Fault, Text};
@@ -12,106 +13,124 @@
 
 /// All faults of a value by the schema, each at its place in the text.
 pub(super) fn against_schema(schema: &Value, formats: &[Format], places: &Text, value: &Value) -> Vec<Fault> {
-    let mut options = jsonschema::options().should_validate_formats(true);
-    for (name, _, check) in formats {
-        options = options.with_format(*name, *check);
-    }
-    let validator = match options.build(schema) {
-        Ok(validator) => validator,
-        Err(e) => return vec![places.at("", format!("the schema itself is broken: {e}"))],
-    };
-    let mut faults = Vec::new();
-    for error in validator.iter_errors(value) {
-        put(schema, formats, places, &error, &mut faults);
-    }
-    faults
+    let mut check = Check { schema, formats, places, faults: Vec::new() };
+    check.value(schema, value, "");
+    check.faults
 }
 
-fn put(schema: &Value, formats: &[Format], places: &Text, error: &ValidationError, faults: &mut Vec<Fault>) {
-    let pointer = error.instance_path().to_string();
-    let name = match pointer.rsplit('/').find(|part| part.parse::<usize>().is_err()) {
-        Some(name) if !name.is_empty() => format!("'{name}'"),
-        _ => "the file".to_owned(),
-    };
-    let message = match error.kind() {
-        Kind::AdditionalProperties { unexpected } => {
-            for key in unexpected {
-                let message = unknown(key, &known(schema, &pointer));
-                faults.push(places.at_key(&format!("{pointer}/{key}"), message));
-            }
-            return;
-        }
-        // What may be left out is given as one of two: the thing itself or nothing.
-        Kind::OneOfNotValid { context } if context.iter().flatten().all(is_word) => {
-            let words: Vec<String> = context.iter().flatten().filter_map(word).collect();
-            format!("{name} is {}, and has to be {}", error.instance(), words.join(" or "))
-        }
-        Kind::AnyOf { context } | Kind::OneOfNotValid { context } => {
-            let first = context.iter().find(|errors| !errors.is_empty());
-            first.into_iter().flatten().for_each(|e| put(schema, formats, places, e, faults));
-            return;
-        }
-        Kind::Required { property } => {
-            format!(
-                "{} is missing",
-                property.as_str().map_or_else(|| property.to_string(), |p| format!("'{p}'"))
-            )
-        }
-        Kind::Format { format } => {
-            let example = formats.iter().find(|f| f.0 == format).map_or("", |f| f.1);
-            let text = error.instance().as_str().unwrap_or_default();
-            format!("'{text}' is no {format}; one is \"{example}\"")
+struct Check<'a> {
+    schema: &'a Value,
+    formats: &'a [Format],
+    places: &'a Text<'a>,
+    faults: Vec<Fault>,
+}
+
+impl<'a> Check<'a> {
+    fn fault(&mut self, pointer: &str, message: impl Into<String>) {
+        self.faults.push(self.places.at(pointer, message));
+    }
+
+    fn value(&mut self, part: &'a Value, value: &Value, pointer: &str) {
+        let part = resolved(self.schema, part);
+        let name = match pointer.rsplit('/').find(|part| part.parse::<usize>().is_err()) {
+            Some(name) if !name.is_empty() => format!("'{name}'"),
+            _ => "the file".to_owned(),
+        };
+        let kinds: Vec<&str> = match &part["type"] {
+            Value::Array(kinds) => kinds.iter().filter_map(Value::as_str).filter(|k| *k != "null").collect(),
+            kind => kind.as_str().into_iter().collect(),
+        };
+        if !kinds.is_empty() && !kinds.iter().any(|kind| is(kind, value)) {
+            let wanted = kinds.iter().map(|kind| words(kind)).collect::<Vec<_>>().join(" or ");
+            return self.fault(pointer, format!("{name} has to be {wanted}, not {}", kind_of(value)));
         }
-        Kind::Type { kind } => {
-            format!("{name} has to be {}, not {}", wanted(kind), kind_of(error.instance()))
+        let choices = choices(part);
+        if !choices.is_empty() && !choices.contains(&value) {
+            let all = choices.iter().map(ToString::to_string).collect::<Vec<_>>().join(" or ");
+            return self.fault(pointer, format!("{name} is {value}, and has to be {all}"));
         }
-        Kind::Enum { options } => {
-            let all: Vec<String> = options.as_array().into_iter().flatten().map(Value::to_string).collect();
-            format!("{} is none of {}", error.instance(), all.join(", "))
+        match value {
+            Value::String(text) => self.text(part, text, pointer, &name),
+            Value::Number(_) => self.number(part, value, pointer, &name),
+            Value::Array(all) => {
+                let length = |key: &str| part[key].as_u64().map(|n| n as usize);
+                if length("minItems").is_some_and(|least| all.len() < least) {
+                    self.fault(pointer, format!("{name} is empty"));
+                }
+                if length("maxItems").is_some_and(|most| all.len() > most) {
+                    self.fault(
+                        pointer,
+                        format!("{name} holds {}, and may hold {}", all.len(), part["maxItems"]),
+                    );
+                }
+                for (n, value) in all.iter().enumerate() {
+                    self.value(&part["items"], value, &format!("{pointer}/{n}"));
+                }
+            }
+            Value::Object(all) => {
+                for key in part["required"].as_array().into_iter().flatten().filter_map(Value::as_str) {
+                    if !all.contains_key(key) {
+                        self.fault(pointer, format!("'{key}' is missing"));
+                    }
+                }
+                for (key, value) in all {
+                    let below = format!("{pointer}/{key}");
+                    match part["properties"].get(key) {
+                        Some(part) => self.value(part, value, &below),
+                        None => {
+                            let known = part["properties"].as_object();
+                            let known: Vec<&str> =
+                                known.into_iter().flatten().map(|(k, _)| k.as_str()).collect();
+                            self.faults.push(self.places.at_key(&below, unknown(key, &known)));
+                        }
+                    }
+                }
+            }
+            Value::Null | Value::Bool(_) => {}
         }
-        Kind::Minimum { limit } | Kind::ExclusiveMinimum { limit } => {
-            format!("{name} is {}, and has to be {limit} or more", error.instance())
+    }
+
+    fn text(&mut self, part: &Value, text: &str, pointer: &str, name: &str) {
+        if part["minLength"].as_u64().is_some_and(|least| (text.chars().count() as u64) < least) {
+            self.fault(pointer, format!("{name} is empty"));
         }
-        Kind::Maximum { limit } | Kind::ExclusiveMaximum { limit } => {
-            format!("{name} is {}, and has to be {limit} or less", error.instance())
+        let format = part["format"].as_str().and_then(|name| self.formats.iter().find(|f| f.0 == name));
+        if let Some((format, example, fits)) = format
+            && !fits(text)
+        {
+            self.fault(pointer, format!("'{text}' is no {format}; one is \"{example}\""));
         }
-        Kind::MinLength { .. } => format!("{name} is empty"),
-        _ => format!("{name}: {error}"),
-    };
-    faults.push(places.at(&pointer, message));
-}
+    }
 
-/// The one value that would have been right.
-fn word(error: &ValidationError) -> Option<String> {
-    match error.kind() {
-        Kind::Constant { expected_value } => Some(expected_value.to_string()),
-        _ => None,
+    fn number(&mut self, part: &Value, value: &Value, pointer: &str, name: &str) {
+        let of = |value: &Value| value.as_f64().unwrap_or(f64::NAN);
+        let (least, most) = (&part["minimum"], &part["maximum"]);
+        if of(value) < of(least) {
+            self.fault(pointer, format!("{name} is {value}, and has to be {least} or more"));
+        } else if of(value) > of(most) {
+            self.fault(pointer, format!("{name} is {value}, and has to be {most} or less"));
+        } else if !of(value).is_finite() {
+            self.fault(pointer, format!("{name} is no finite number"));
+        }
     }
 }
 
-fn is_word(error: &ValidationError) -> bool {
-    word(error).is_some()
+/// The values among which a key may choose; none if it is free.
+pub(super) fn choices(part: &Value) -> Vec<&Value> {
+    let listed = part["enum"].as_array().into_iter().flatten();
+    let described = part["oneOf"].as_array().into_iter().flatten();
+    listed.chain(described.filter_map(|one| one.get("const"))).collect()
 }
 
-fn unknown(key: &str, known: &[String]) -> String {
-    let alike = |name: &String| strsim::jaro_winkler(key, name);
+fn unknown(key: &str, known: &[&str]) -> String {
+    let alike = |name: &&&str| strsim::jaro_winkler(key, name);
     match known.iter().max_by(|a, b| alike(a).total_cmp(&alike(b))) {
-        Some(name) if alike(name) >= ALIKE => format!("unknown key '{key}', did you mean '{name}'?"),
+        Some(name) if alike(&name) >= ALIKE => format!("unknown key '{key}', did you mean '{name}'?"),
         _ => format!("unknown key '{key}'; known are {}", known.join(", ")),
     }
 }
 
-/// The part of the schema that holds for what stands at a JSON pointer.
-fn known(schema: &Value, pointer: &str) -> Vec<String> {
-    let mut at = resolved(schema, schema);
-    for part in pointer.split('/').skip(1) {
-        let next = if part.parse::<usize>().is_ok() { &at["items"] } else { &at["properties"][part] };
-        at = resolved(schema, next);
-    }
-    at["properties"].as_object().map(|all| all.keys().cloned().collect()).unwrap_or_default()
-}
-
-/// A schema without the references and choices around it.
+/// A schema without the references and choices around it. What may be left out is a choice of the thing or nothing.
 pub(super) fn resolved<'a>(schema: &'a Value, mut part: &'a Value) -> &'a Value {
     loop {
         if let Some(name) = part["$ref"].as_str() {
@@ -124,28 +143,32 @@
     }
 }
 
-fn wanted(kind: &TypeKind) -> String {
-    let word = |kind: JsonType| match kind {
-        JsonType::Array => "a list",
-        JsonType::Boolean => "true or false",
-        JsonType::Integer => "a whole number",
-        JsonType::Null => "nothing",
-        JsonType::Number => "a number",
-        JsonType::Object => "a table",
-        JsonType::String => "text",
-    };
+fn is(kind: &str, value: &Value) -> bool {
     match kind {
-        TypeKind::Single(kind) => word(*kind).to_owned(),
-        TypeKind::Multiple(kinds) => {
-            let kinds: Vec<_> = kinds.iter().filter(|k| *k != JsonType::Null).map(word).collect();
-            kinds.join(" or ")
-        }
+        "array" => value.is_array(),
+        "boolean" => value.is_boolean(),
+        "integer" => value.is_i64() || value.is_u64(),
+        "number" => value.is_number(),
+        "object" => value.is_object(),
+        _ => value.is_string(),
+    }
+}
+
+/// What is wanted of a value, in words.
+pub(super) fn words(kind: &str) -> &'static str {
+    match kind {
+        "array" => "a list",
+        "boolean" => "true or false",
+        "integer" => "a whole number",
+        "number" => "a number",
+        "object" => "a table",
+        _ => "text",
     }
 }
 
 fn kind_of(value: &Value) -> &'static str {
     match value {
-        Value::Null => "nothing",
+        Value::Null => "a number out of range",
         Value::Bool(_) => "true or false",
         Value::Number(_) => "a number",
         Value::String(_) => "text",
@@ -153,3 +176,49 @@
         Value::Object(_) => "a table",
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::super::file::SCHEMA;
+    use super::*;
+
+    #[test]
+    fn the_schema_uses_only_what_is_read_here() {
+        const READ: [&str; 17] = [
+            "$ref",
+            "anyOf",
+            "const",
+            "enum",
+            "format",
+            "items",
+            "maxItems",
+            "maximum",
+            "minItems",
+            "minLength",
+            "minimum",
+            "oneOf",
+            "properties",
+            "required",
+            "type",
+            "additionalProperties",
+            "default",
+        ];
+        const WORDS: [&str; 4] = ["$schema", "description", "title", "$defs"];
+        fn walk(part: &Value, named: bool) {
+            match part {
+                Value::Object(all) => {
+                    for (key, below) in all {
+                        let known = READ.contains(&key.as_str()) || WORDS.contains(&key.as_str());
+                        assert!(named || known, "{key} is not read");
+                        if key != "default" || named {
+                            walk(below, !named && (key == "properties" || key == "$defs"));
+                        }
+                    }
+                }
+                Value::Array(all) => all.iter().for_each(|below| walk(below, false)),
+                _ => {}
+            }
+        }
+        walk(&SCHEMA, false);
+    }
+}
--- a/crates/proxy/src/config/explain.rs
+++ b/crates/proxy/src/config/explain.rs
@@ -4,7 +4,7 @@
 
 use serde_json::Value;
 
-use super::check::resolved;
+use super::check::{choices, resolved};
 use super::file::SCHEMA;
 
 /// One key.
@@ -53,9 +53,9 @@
     {
         return format.to_owned();
     }
-    if let Some(choices) = part["oneOf"].as_array().or_else(|| part["enum"].as_array()) {
-        let value = |c: &Value| c["const"].as_str().or(c.as_str()).unwrap_or_default().to_owned();
-        return choices.iter().map(|c| format!("`\"{}\"`", value(c))).collect::<Vec<_>>().join(" or ");
+    let choices = choices(part);
+    if !choices.is_empty() {
+        return choices.iter().map(|c| format!("`{c}`")).collect::<Vec<_>>().join(" or ");
     }
     let kinds = match &part["type"] {
         Value::Array(kinds) => kinds.iter().filter_map(Value::as_str).find(|k| *k != "null"),
