--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -32,7 +32,6 @@
         #[command(subcommand)]
         show: Show,
     },
-    #[command(hide = true)]
     /// Run stand-in backends of different speed, the proxy and clients on this machine, and watch them
     Demo(Demo),
     /// Ask or tell a running proxy something through its second address
@@ -109,7 +108,7 @@
     #[arg(long, value_name = "N", value_parser = clap::value_parser!(u64).range(1..=86_400))]
     pub seconds: Option<u64>,
     /// Requests a second that clients send
-    #[arg(long, value_name = "R", default_value_t = 120.0, value_parser = rate)]
+    #[arg(long, value_name = "R", default_value_t = 200.0, value_parser = rate)]
     pub rate: f64,
     /// The summary as JSON, and nothing else on standard output
     #[arg(long)]
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -341,3 +341,38 @@
     let schema: serde_json::Value = serde_json::from_slice(&schema.stdout).expect("JSON");
     assert!(schema["properties"]["listen"].is_object());
 }
+
+#[test]
+fn the_demo_accounts_for_every_request() {
+    let run = leadrelay(&["demo", "--seconds", "2", "--json"]);
+    assert_eq!(run.status.code(), Some(0), "{}", text(&run.stderr));
+    let told: serde_json::Value =
+        serde_json::from_slice(&run.stdout).expect("one JSON object and nothing else");
+    let of = |key: &str| told[key].as_u64().expect("a count");
+    assert!(of("sent") > 100, "{told}");
+    assert_eq!(of("sent"), of("in_time") + of("late") + of("refused") + of("failed"), "{told}");
+    let served =
+        told["backends"].as_array().expect("a list").iter().map(|b| b["served"].as_u64().expect("a count"));
+    assert!(served.sum::<u64>() >= of("in_time") + of("late"), "{told}");
+    let causes = told["causes"].as_object().expect("a table").values().map(|c| c.as_u64().expect("a count"));
+    assert!(causes.sum::<u64>() <= of("sent"), "{told}");
+    assert!(
+        told["choices"]["at_once"].as_u64().expect("a count") > 0 && told["p99_ms"].as_f64() > Some(0.0),
+        "{told}"
+    );
+}
+
+#[test]
+fn the_demo_ends_with_a_summary_at_ctrl_c() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_leadrelay"))
+        .arg("demo")
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines().map_while(Result::ok);
+    assert!(lines.any(|line| line.contains("threshold:")), "a line a second where there is no terminal");
+    let pid = child.id().to_string();
+    assert!(Command::new("kill").args(["-INT", &pid]).status().expect("kill runs").success());
+    assert!(lines.any(|line| line.contains("requests: in time")), "a summary");
+    assert_eq!(child.wait().expect("it ends").code(), Some(0));
+}
