--- /dev/null
+++ b/crates/lab/src/decide.rs
@@ -0,0 +1,185 @@
+//! Who decides for a proxy: the core as in service, or a baseline to hold it against.
+
+use leadrelay_core::{Action, BackendId, Balancer, Event, RequestId, Scope, State};
+use rustc_hash::FxHashMap;
+
+use crate::draw::Draw;
+
+/// The true state of all backends, by their numbers. Only baselines that are said to see it look at it.
+#[derive(Clone, Debug, Default)]
+pub struct Truth {
+    /// Requests that each holds.
+    pub holds: Vec<f64>,
+    /// Work that each does in a ms; 0 if it can't serve.
+    pub capacity: Vec<f64>,
+}
+
+/// One proxy's decisions.
+pub trait Decide {
+    /// Takes in an event, and appends what is to be done. `now` is the truth, `late` what it was a while ago.
+    fn handle(&mut self, now: f64, event: Event, truth: (&Truth, &Truth), out: &mut Vec<Action>);
+}
+
+impl Decide for Balancer {
+    fn handle(&mut self, now: f64, event: Event, _: (&Truth, &Truth), out: &mut Vec<Action>) {
+        Balancer::handle(self, now, event, out);
+    }
+}
+
+/// How a baseline picks a backend.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Pick {
+    /// Evenly at random.
+    Random,
+    /// One after another.
+    RoundRobin,
+    /// The one with the fewest of this proxy's requests.
+    Least,
+    /// The better of two at random, by this proxy's requests.
+    TwoChoices,
+    /// The least product of requests out and a peak-sensitive mean of latency (as Finagle's peak EWMA).
+    PeakEwma,
+    /// The one that would serve it first, by the true state at once.
+    SeesAll,
+    /// The one that would serve it first, by the true state half a second ago.
+    SeesLate,
+}
+
+/// Span over which peak EWMA forgets, in ms.
+const DECAY: f64 = 10_000.0;
+/// Attempts that a baseline makes.
+const ATTEMPTS: u32 = 3;
+
+struct Known {
+    id: BackendId,
+    number: usize,
+    out: u32,
+    latency: f64,
+    at: f64,
+}
+
+/// A baseline: sends at once, repeats what surely did not run, and holds nothing.
+pub struct Baseline {
+    pick: Pick,
+    draw: Draw,
+    backends: Vec<Known>,
+    next: usize,
+    open: FxHashMap<RequestId, (u32, BackendId)>,
+    subscribed: bool,
+}
+
+impl Baseline {
+    /// A proxy that picks like this.
+    pub fn new(pick: Pick, seed: u64) -> Self {
+        let (backends, next, open, subscribed) = Default::default();
+        Baseline { pick, draw: Draw::new(seed, "baseline"), backends, next, open, subscribed }
+    }
+
+    fn choose(&mut self, now: f64, (truth, late): (&Truth, &Truth)) -> Option<usize> {
+        let n = self.backends.len();
+        if n == 0 {
+            return None;
+        }
+        let first = self.draw.below(n);
+        let least = |cost: &dyn Fn(&Known) -> f64, all: &[Known]| {
+            (0..n).map(|i| (first + i) % n).min_by(|a, b| cost(&all[*a]).total_cmp(&cost(&all[*b])))
+        };
+        let seen = |t: &Truth, k: &Known| {
+            let capacity = t.capacity.get(k.number).copied().unwrap_or(0.0);
+            if capacity > 0.0 { (t.holds[k.number] + 1.0) / capacity } else { f64::INFINITY }
+        };
+        match self.pick {
+            Pick::Random => Some(first),
+            Pick::RoundRobin => {
+                self.next = (self.next + 1) % n;
+                Some(self.next)
+            }
+            Pick::Least => least(&|k| f64::from(k.out), &self.backends),
+            Pick::TwoChoices => {
+                let second = self.draw.below(n);
+                let fewer = self.backends[second].out < self.backends[first].out;
+                Some(if fewer { second } else { first })
+            }
+            Pick::PeakEwma => {
+                let cost = |k: &Known| k.latency * (-(now - k.at) / DECAY).exp() * f64::from(k.out + 1);
+                least(&cost, &self.backends)
+            }
+            Pick::SeesAll => least(&|k| seen(truth, k), &self.backends),
+            Pick::SeesLate => least(&|k| seen(late, k) * (1.0 + f64::from(k.out)), &self.backends),
+        }
+    }
+
+    fn send(&mut self, now: f64, id: RequestId, truth: (&Truth, &Truth), out: &mut Vec<Action>) {
+        match self.choose(now, truth) {
+            Some(k) => {
+                self.backends[k].out += 1;
+                let tries = self.open.get(&id).map_or(0, |o| o.0);
+                self.open.insert(id, (tries + 1, self.backends[k].id));
+                out.push(Action::Send { request: id, backend: self.backends[k].id, timeout: None });
+            }
+            None => {
+                self.open.remove(&id);
+                out.push(Action::Refuse { request: id, retry_after: None });
+            }
+        }
+    }
+}
+
+impl Decide for Baseline {
+    fn handle(&mut self, now: f64, event: Event, truth: (&Truth, &Truth), out: &mut Vec<Action>) {
+        match event {
+            Event::List { scope, entries } => {
+                if scope == Scope::Failed {
+                    self.subscribed = false;
+                    out.push(Action::Timer { token: 0, at: now + 500.0 + 1000.0 * self.draw.unit() });
+                    return;
+                }
+                if scope == Scope::Full || scope == Scope::Cached {
+                    self.backends.retain(|k| entries.iter().any(|e| e.id == k.id));
+                }
+                for e in entries {
+                    let at = self.backends.iter().position(|k| k.id == e.id);
+                    match (e.state == State::Up, at) {
+                        (true, None) => {
+                            let number = e.id.0 as usize;
+                            self.backends.push(Known { id: e.id, number, out: 0, latency: 1.0, at: now });
+                        }
+                        (false, Some(at)) => drop(self.backends.swap_remove(at)),
+                        _ => {}
+                    }
+                }
+                if !self.subscribed {
+                    self.subscribed = true;
+                    out.push(Action::Subscribe);
+                }
+            }
+            Event::Request { id, .. } => self.send(now, id, truth, out),
+            Event::Ended { request, latency, outcome, closed, .. } => {
+                let Some(&(tries, backend)) = self.open.get(&request) else { return };
+                if let Some(k) = self.backends.iter_mut().find(|k| k.id == backend) {
+                    k.out = k.out.saturating_sub(1);
+                    let old = k.latency * (-(now - k.at) / DECAY).exp();
+                    k.latency = if latency > old { latency } else { old + 0.1 * (latency - old) };
+                    k.at = now;
+                }
+                if closed {
+                    self.open.remove(&request);
+                } else if outcome.may_have_run() {
+                    self.open.remove(&request);
+                    out.push(Action::Fail(request));
+                } else if tries < ATTEMPTS {
+                    self.send(now, request, truth, out);
+                } else {
+                    self.open.remove(&request);
+                    out.push(Action::Refuse { request, retry_after: None });
+                }
+            }
+            Event::Abandoned(id) => drop(self.open.remove(&id)),
+            Event::Timer(_) if !self.subscribed => {
+                self.subscribed = true;
+                out.push(Action::Subscribe);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/ledger.rs
@@ -0,0 +1,222 @@
+//! Where the worth went: every request's end with exactly one cause, prices, broken rules, and the day's figure.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::day::Day;
+
+/// Why a request earned nothing, or that it earned its worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum End {
+    /// In time.
+    Served,
+    /// Answered after its aim.
+    Late,
+    /// Refused without an attempt while a healthy backend had an idle core.
+    RefusedBesideIdle,
+    /// Refused without an attempt while none had.
+    RefusedAllBusy,
+    /// Held without an attempt until it was of no more use.
+    HeldTooLong,
+    /// Its last attempt was turned away by a full or draining backend.
+    SentToFull,
+    /// Its last attempt met a backend that was down.
+    SentToGone,
+    /// Its last attempt met an ill backend: silent, or failing more than its kind does.
+    SentToIll,
+    /// Its last attempt met a cold backend that did not answer in time.
+    SentToCold,
+    /// Its last attempt waited or was worked on for too long.
+    SentToBusy,
+    /// Its last attempt failed by chance, as some do everywhere.
+    Error,
+    /// The way was cut.
+    LostWay,
+    /// Its proxy died or was dead.
+    ProxyDead,
+    /// The client left early by itself.
+    ClientLeft,
+}
+
+/// A broken rule, with where to look.
+#[derive(Clone, Debug, Serialize)]
+pub struct Broken {
+    /// Which rule.
+    pub rule: &'static str,
+    /// When, in ms.
+    pub at: f64,
+    /// The request or backend.
+    pub what: String,
+}
+
+/// What one request came to.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Its place among the day's requests.
+    pub request: usize,
+    /// Its end.
+    pub end: End,
+    /// The proxy of its last try.
+    pub proxy: usize,
+    /// The backend of its last attempt.
+    pub backend: Option<usize>,
+    /// When it ended, counted from its first try.
+    pub took: f64,
+    /// Within its tenant's share.
+    pub in_share: bool,
+}
+
+/// Counts that cost something or tell something.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Sums {
+    /// Tries of clients, and attempts at backends.
+    pub tries: u64,
+    /// See there.
+    pub attempts: u64,
+    /// Attempts that crossed zones.
+    pub crossings: u64,
+    /// Connections opened to backends.
+    pub handshakes: u64,
+    /// Bytes of messages, each receiver counted.
+    pub peer_bytes: u64,
+    /// Messages sent.
+    pub messages: u64,
+    /// Calls to discovery, and those that failed.
+    pub calls: u64,
+    /// See there.
+    pub calls_failed: u64,
+    /// Work done for attempts whose answer nobody got, in ms on the yardstick.
+    pub wasted: f64,
+    /// Events that proxies handled.
+    pub events: u64,
+}
+
+/// All that is kept of a day.
+#[derive(Default)]
+pub struct Ledger {
+    /// One entry a request.
+    pub entries: Vec<Entry>,
+    /// Sums.
+    pub sums: Sums,
+    /// Broken rules.
+    pub broken: Vec<Broken>,
+}
+
+/// A day's result.
+#[derive(Clone, Debug, Serialize)]
+pub struct Result {
+    /// Scenario.
+    pub scenario: String,
+    /// Seed.
+    pub seed: u64,
+    /// Who decided.
+    pub version: String,
+    /// The figure of the day: service by the operators' weights, less prices.
+    pub g: f64,
+    /// Worth served in time over worth asked for.
+    pub served: f64,
+    /// The same in the worst 10 s, and when they begin.
+    pub worst_window: (f64, f64),
+    /// The same for the worst class and the worst tenant within its share.
+    pub worst_class: f64,
+    /// See there.
+    pub worst_tenant: f64,
+    /// What was charged, by name.
+    pub prices: BTreeMap<&'static str, f64>,
+    /// Worth by the cause of its end, as a part of all that was asked for.
+    pub ends: BTreeMap<End, f64>,
+    /// Requests.
+    pub requests: usize,
+    /// Sums.
+    pub sums: Sums,
+    /// Broken rules, the first few.
+    pub broken: Vec<Broken>,
+}
+
+const WINDOW: f64 = 10_000.0;
+/// Weights of the whole day, the worst window, the worst class and the worst tenant, by the operators' brief.
+const WEIGHTS: [f64; 4] = [0.25, 0.45, 0.2, 0.1];
+
+/// Worth served in time over worth asked for.
+#[derive(Clone, Copy, Default)]
+struct Part {
+    asked: f64,
+    served: f64,
+}
+
+impl Part {
+    fn add(&mut self, worth: f64, served: bool) {
+        self.asked += worth;
+        self.served += if served { worth } else { 0.0 };
+    }
+
+    fn value(self) -> f64 {
+        if self.asked > 0.0 { self.served / self.asked } else { 1.0 }
+    }
+}
+
+impl Ledger {
+    /// Sums the day up.
+    pub fn result(&self, day: &Day, version: &str) -> Result {
+        let s = &day.scenario;
+        let worth =
+            |e: &Entry| day.requests[e.request].worth * if e.in_share { 1.0 } else { s.over_share_worth };
+        let (mut whole, mut ends) = (Part::default(), BTreeMap::<End, f64>::new());
+        let mut classes = vec![Part::default(); s.classes.len()];
+        let mut tenants = vec![Part::default(); s.tenants.len().max(1)];
+        let seconds = (day.length / 1000.0).ceil() as usize;
+        let mut by_second = vec![Part::default(); seconds.max(1)];
+        for e in &self.entries {
+            let (r, worth, served) = (&day.requests[e.request], worth(e), e.end == End::Served);
+            whole.add(worth, served);
+            classes[r.class].add(worth, served);
+            if e.in_share {
+                tenants[r.tenant].add(worth, served);
+            }
+            by_second[((r.at / 1000.0) as usize).min(seconds.max(1) - 1)].add(worth, served);
+            *ends.entry(e.end).or_default() += worth;
+        }
+        let total = whole.asked.max(1e-9);
+        ends.values_mut().for_each(|w| *w /= total);
+        let span = ((WINDOW / 1000.0) as usize).min(by_second.len());
+        let windows = by_second.windows(span).enumerate().map(|(at, window)| {
+            let mut sum = Part::default();
+            window
+                .iter()
+                .for_each(|p| (sum.asked, sum.served) = (sum.asked + p.asked, sum.served + p.served));
+            (sum.value(), at as f64)
+        });
+        let worst_window = windows.min_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or((1.0, 0.0));
+        let worst = |parts: &[Part]| parts.iter().map(|p| p.value()).fold(1.0, f64::min);
+        let (worst_class, worst_tenant) = (worst(&classes), worst(&tenants));
+        let n = day.requests.len().max(1) as f64;
+        let work: f64 = day.requests.iter().map(|r| r.work).sum::<f64>().max(1e-9);
+        let prices = BTreeMap::from([
+            ("cross_zone", s.prices.cross_zone * self.sums.crossings as f64 / n),
+            ("handshake", s.prices.handshake * self.sums.handshakes as f64 / n),
+            ("peer", s.prices.peer * self.sums.peer_bytes as f64 / 256.0 / n),
+            ("waste", s.prices.waste * self.sums.wasted / work),
+        ]);
+        let service = WEIGHTS[0] * whole.value()
+            + WEIGHTS[1] * worst_window.0
+            + WEIGHTS[2] * worst_class
+            + WEIGHTS[3] * worst_tenant;
+        Result {
+            scenario: s.name.clone(),
+            seed: day.seed,
+            version: version.to_owned(),
+            g: service - prices.values().sum::<f64>(),
+            served: whole.value(),
+            worst_window,
+            worst_class,
+            worst_tenant,
+            prices,
+            ends,
+            requests: day.requests.len(),
+            sums: self.sums.clone(),
+            broken: self.broken.iter().take(20).cloned().collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,16 @@
+//! An emulated fleet: days drawn from scenarios by a seed and played in simulated time, with the core's decisions exactly
+//! as in service. What the model assumes and leaves out stands in `docs/lab.md`.
+
+pub mod backend;
+pub mod day;
+pub mod decide;
+pub mod draw;
+pub mod ledger;
+pub mod scenario;
+pub mod world;
+
+pub use day::Day;
+pub use decide::{Decide, Pick, Truth};
+pub use ledger::{End, Result};
+pub use scenario::{Scenario, ScenarioError};
+pub use world::{Version, play, play_by};
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,173 @@
+//! The lab's command line.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Args, Parser, Subcommand};
+use comfy_table::Table;
+use leadrelay_lab::{Day, Pick, Result, Scenario, Version, play};
+use rayon::prelude::*;
+
+/// Plays emulated fleets in simulated time and tells where the worth went.
+#[derive(Debug, Parser)]
+#[command(
+    name = "leadrelay-lab",
+    version,
+    arg_required_else_help = true,
+    max_term_width = 100,
+    after_help = "Exit codes: 0 done, 1 failed or a rule was broken, 2 wrong usage or scenario."
+)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Play one day or several and tell where the worth went
+    Run(Run),
+    /// Hold the core against the baselines on the same days
+    Baselines(Run),
+}
+
+#[derive(Debug, Args)]
+struct Run {
+    /// The scenario, a TOML file
+    scenario: PathBuf,
+    /// The first seed
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How many days, each by the next seed
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1000))]
+    seeds: u64,
+    /// Who decides, in place of the core
+    #[arg(long, value_enum)]
+    baseline: Option<Pick>,
+    /// Cut the day to so many seconds
+    #[arg(long)]
+    seconds: Option<f64>,
+    /// So many proxies in place of the scenario's
+    #[arg(long)]
+    proxies: Option<usize>,
+    /// So many backends in place of the scenario's
+    #[arg(long)]
+    backends: Option<usize>,
+    /// Results as JSON, one line a day
+    #[arg(long)]
+    json: bool,
+}
+
+/// Reads the scenario with what the flags change of it.
+fn scenario(run: &Run) -> std::result::Result<Scenario, String> {
+    let mut scenario = Scenario::read(&run.scenario).map_err(|e| e.to_string())?;
+    if let Some(seconds) = run.seconds.filter(|s| s.is_finite() && *s > 0.0) {
+        scenario.seconds = scenario.seconds.min(seconds);
+    }
+    scenario.proxies = run.proxies.map_or(scenario.proxies, |n| n.clamp(1, 2000));
+    scenario.backends = run.backends.map_or(scenario.backends, |n| n.clamp(1, 2000));
+    Ok(scenario)
+}
+
+fn days(run: &Run, scenario: &Scenario, version: Version) -> Vec<Result> {
+    let seeds: Vec<u64> = (run.seed..run.seed + run.seeds).collect();
+    seeds.par_iter().map(|seed| play(&Day::draw(scenario, *seed), version)).collect()
+}
+
+fn table(header: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(comfy_table::presets::ASCII_MARKDOWN);
+    table.set_header(header.iter().copied());
+    table
+}
+
+fn show(result: &Result) {
+    println!(
+        "{} seed {} by {}: G {:.3}  served {:.3}, worst 10 s {:.3} (from {:.0} s), worst class {:.3}, tenant {:.3}",
+        result.scenario,
+        result.seed,
+        result.version,
+        result.g,
+        result.served,
+        result.worst_window.0,
+        result.worst_window.1,
+        result.worst_class,
+        result.worst_tenant
+    );
+    let s = &result.sums;
+    println!(
+        "{} requests, {} tries, {} attempts, {} handshakes, {} messages, {} of {} calls to discovery failed, {} events",
+        result.requests, s.tries, s.attempts, s.handshakes, s.messages, s.calls_failed, s.calls, s.events
+    );
+    let prices = result.prices.iter().map(|(name, price)| format!("{name} {price:.4}"));
+    println!("prices: {}", prices.collect::<Vec<_>>().join(", "));
+    let mut ends: Vec<_> = result.ends.iter().collect();
+    ends.sort_by(|a, b| b.1.total_cmp(a.1));
+    let mut shown = table(&["where the worth went", "part"]);
+    for (end, part) in ends {
+        shown.add_row([format!("{end:?}"), format!("{:.2}%", 100.0 * part)]);
+    }
+    println!("{shown}");
+    for broken in &result.broken {
+        println!("BROKEN at {:.0} ms: {}: {}", broken.at, broken.rule, broken.what);
+    }
+}
+
+fn run(run: &Run) -> std::result::Result<bool, String> {
+    let scenario = scenario(run)?;
+    let results = days(run, &scenario, run.baseline.map_or(Version::Core, Version::Baseline));
+    for result in &results {
+        if run.json {
+            println!("{}", serde_json::to_string(result).map_err(|e| e.to_string())?);
+        } else {
+            show(result);
+        }
+    }
+    Ok(results.iter().all(|r| r.broken.is_empty()))
+}
+
+fn baselines(run: &Run) -> std::result::Result<bool, String> {
+    let scenario = scenario(run)?;
+    let all = [
+        Version::Core,
+        Version::Baseline(Pick::Random),
+        Version::Baseline(Pick::RoundRobin),
+        Version::Baseline(Pick::Least),
+        Version::Baseline(Pick::TwoChoices),
+        Version::Baseline(Pick::PeakEwma),
+        Version::Baseline(Pick::SeesLate),
+        Version::Baseline(Pick::SeesAll),
+    ];
+    let mut shown = table(&["by", "G", "served", "worst 10 s", "worst class", "rules broken"]);
+    for version in all {
+        let results = days(run, &scenario, version);
+        let mean = |f: &dyn Fn(&Result) -> f64| {
+            format!("{:.3}", results.iter().map(f).sum::<f64>() / results.len() as f64)
+        };
+        let broken: usize = results.iter().map(|r| r.broken.len()).sum();
+        shown.add_row([
+            version.name(),
+            mean(&|r| r.g),
+            mean(&|r| r.served),
+            mean(&|r| r.worst_window.0),
+            mean(&|r| r.worst_class),
+            broken.to_string(),
+        ]);
+    }
+    println!("{} over {} days from seed {}\n{shown}", scenario.name, run.seeds, run.seed);
+    Ok(true)
+}
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Run(options) => run(&options),
+        Command::Baselines(options) => baselines(&options),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(text) => {
+            eprintln!("leadrelay-lab: {text}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world.rs
@@ -0,0 +1,1136 @@
+//! The fleet in simulated time: a heap of events by time and number, one thread, all chance from the seed.
+//!
+//! Left out, beside what the models say: processor time of a proxy, sizes of bodies, idle connections that are closed,
+//! slow or malformed clients.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::rc::Rc;
+
+use leadrelay_core::{
+    Action, Backend as Line, BackendId, Balancer, CellId, Class, ClassId, Discovery, Effect, Event, Group,
+    Key, KindId, Limits, Outcome, Prices, Rating, RequestId, Scope, Settings, State, Tenant, TenantId,
+    ZoneId,
+};
+use rustc_hash::FxHashMap;
+
+use crate::backend::{At, AttemptNo, Backend, Taken};
+use crate::day::{Day, Fault};
+use crate::decide::{Baseline, Decide, Pick, Truth};
+use crate::draw::Draw;
+use crate::ledger::{Broken, End, Entry, Ledger, Result};
+use crate::scenario::{EffectOf, FaultKind};
+
+/// Who decides.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Version {
+    /// The core of this build.
+    Core,
+    /// A baseline.
+    Baseline(Pick),
+}
+
+impl Version {
+    /// Its name in results.
+    pub fn name(self) -> String {
+        match self {
+            Version::Core => "core".into(),
+            Version::Baseline(pick) => format!("{pick:?}"),
+        }
+    }
+}
+
+/// After a drain or an end has been told, nothing new goes there later than this, in ms.
+const DRAIN_GRACE: f64 = 2050.0;
+/// Attempts that a request may have.
+const ATTEMPTS: usize = 5;
+/// A keyed request may be repeated for this span after its first attempt, in ms.
+const KEYED: f64 = 10_000.0;
+/// The age of the state that late-seeing baselines see, in ms.
+const LATE: f64 = 500.0;
+/// A proxy that restarts by plan takes requests for so long after clients are sent elsewhere, in ms.
+const FAREWELL: f64 = 1500.0;
+/// A backend that is replaced finishes what it has for so long, in ms.
+const DRAIN: f64 = 3000.0;
+/// A failing backend answers after this span, in ms.
+const QUICK: f64 = 1.0;
+/// After the last arrival the day runs on for so long, in ms.
+const TAIL: f64 = 8000.0;
+
+/// What a client gets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Answer {
+    Served,
+    Refused(f64),
+    Failed,
+    /// Its proxy is dead.
+    Broken,
+}
+
+enum Ev {
+    Arrive(usize),
+    Retry(usize),
+    AtProxy(usize),
+    GiveUp(usize),
+    AtClient(usize, Answer),
+    Timer { proxy: usize, life: u32, token: u64 },
+    AtBackend(AttemptNo),
+    Work { backend: usize, generation: u64 },
+    Ended(AttemptNo, Outcome),
+    TimedOut(AttemptNo),
+    Gossip { from: usize, bytes: Rc<[u8]> },
+    Call { proxy: usize, life: u32, watch: bool },
+    Listed { proxy: usize, life: u32, scope: Scope, lines: Rc<[Line]> },
+    Notice(Line),
+    Push,
+    Look,
+    Begin(usize),
+    End(usize),
+    Die(usize),
+    Rise(usize),
+    Retire(usize),
+    Stop(usize),
+    Return(usize),
+}
+
+struct Try {
+    request: usize,
+    proxy: usize,
+    life: u32,
+    sent: f64,
+    due: f64,
+    /// The client still waits.
+    open: bool,
+    /// The proxy has given its answer, or owes none any more.
+    answered: bool,
+    attempts: Vec<AttemptNo>,
+}
+
+struct Attempt {
+    of: usize,
+    number: u32,
+    backend: usize,
+    life: u32,
+    sent: f64,
+    work: f64,
+    over: bool,
+    may_have_run: bool,
+    /// What it met, once that is known.
+    met: Option<End>,
+}
+
+struct Proxy {
+    zone: usize,
+    weight: f64,
+    alive: bool,
+    life: u32,
+    died: f64,
+    /// Clients are sent elsewhere by plan.
+    leaving: bool,
+    brain: Box<dyn Decide>,
+    idle: FxHashMap<usize, u32>,
+    /// How much of discovery's changes it has, and whether it watches.
+    seen: usize,
+    watches: bool,
+    list: Rc<[Line]>,
+    told: FxHashMap<usize, f64>,
+}
+
+/// Where a request is.
+#[derive(Clone, Copy, Default)]
+struct Progress {
+    tries: u32,
+    over: bool,
+    in_share: bool,
+}
+
+struct World<'a> {
+    day: &'a Day,
+    brains: &'a Brains<'a>,
+    now: f64,
+    number: u64,
+    heap: BinaryHeap<Reverse<(At, u64, usize)>>,
+    slots: Vec<Option<Ev>>,
+    free: Vec<usize>,
+    ways: Draw,
+    chance: Draw,
+    seeds: Draw,
+    backends: Vec<Backend>,
+    proxies: Vec<Proxy>,
+    tries: Vec<Try>,
+    attempts: Vec<Attempt>,
+    progress: Vec<Progress>,
+    allowance: Vec<(f64, f64)>,
+    list: Vec<Line>,
+    changes: Vec<Line>,
+    discovery_free: f64,
+    discovery_down: bool,
+    cut: Option<usize>,
+    hot: Option<(usize, f64)>,
+    truth: Truth,
+    late: Truth,
+    ledger: Ledger,
+    actions: Vec<Action>,
+}
+
+/// Plays a day. The same day and version give the same result.
+pub fn play(day: &Day, version: Version) -> Result {
+    let brains = |p, seed| -> Box<dyn Decide> {
+        match version {
+            Version::Core => Box::new(Balancer::new(settings(day, p), seed)),
+            Version::Baseline(pick) => Box::new(Baseline::new(pick, seed)),
+        }
+    };
+    play_by(day, &version.name(), &brains)
+}
+
+/// Who decides for a proxy of this number, from this seed.
+pub type Brains<'a> = dyn Fn(usize, u64) -> Box<dyn Decide> + 'a;
+
+/// Plays a day by other decisions.
+pub fn play_by(day: &Day, name: &str, brains: &Brains) -> Result {
+    let mut world = World::new(day, brains);
+    world.run();
+    world.ledger.result(day, name)
+}
+
+impl<'a> World<'a> {
+    fn new(day: &'a Day, brains: &'a Brains<'a>) -> Self {
+        let mut seeds = Draw::new(day.seed, "proxies");
+        let backends: Vec<Backend> = day.machines.iter().cloned().map(Backend::new).collect();
+        let list: Vec<Line> = backends.iter().enumerate().map(|(i, b)| line(i, b, State::Up)).collect();
+        let shared: Rc<[Line]> = list.clone().into();
+        let proxy = |(p, &(zone, weight)): (usize, &(usize, f64))| Proxy {
+            zone,
+            weight,
+            alive: true,
+            life: 0,
+            died: f64::NEG_INFINITY,
+            leaving: false,
+            brain: brains(p, seeds.seed()),
+            idle: FxHashMap::default(),
+            seen: 0,
+            watches: false,
+            list: shared.clone(),
+            told: FxHashMap::default(),
+        };
+        let proxies = day.proxies.iter().enumerate().map(proxy).collect();
+        let mut world = World {
+            day,
+            brains,
+            now: 0.0,
+            number: 0,
+            heap: BinaryHeap::new(),
+            slots: Vec::new(),
+            free: Vec::new(),
+            ways: Draw::new(day.seed, "ways"),
+            chance: Draw::new(day.seed, "chance"),
+            seeds,
+            backends,
+            proxies,
+            tries: Vec::new(),
+            attempts: Vec::new(),
+            progress: vec![Progress::default(); day.requests.len()],
+            allowance: day.allowances.iter().map(|a| (*a, 0.0)).collect(),
+            list,
+            changes: Vec::new(),
+            discovery_free: 0.0,
+            discovery_down: false,
+            cut: None,
+            hot: None,
+            truth: Truth::default(),
+            late: Truth::default(),
+            ledger: Ledger::default(),
+            actions: Vec::new(),
+        };
+        world.look();
+        world.late = world.truth.clone();
+        world
+    }
+
+    fn run(&mut self) {
+        for p in 0..self.proxies.len() {
+            self.greet(p);
+        }
+        if !self.day.requests.is_empty() {
+            self.at(self.day.requests[0].at, Ev::Arrive(0));
+        }
+        for (i, fault) in self.day.faults.iter().enumerate() {
+            self.at(fault.from, Ev::Begin(i));
+            if fault.until > fault.from {
+                self.at(fault.until, Ev::End(i));
+            }
+        }
+        self.at(self.day.scenario.discovery.push_ms, Ev::Push);
+        self.at(LATE, Ev::Look);
+        let end = self.day.length + TAIL;
+        while let Some(Reverse((At(at), _, slot))) = self.heap.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.free.push(slot);
+            if let Some(event) = self.slots[slot].take() {
+                self.handle(event);
+            }
+        }
+        // Whoever has no end yet waits for an answer that did not come in all this time.
+        for request in 0..self.progress.len() {
+            if !self.progress[request].over {
+                self.finish(request, End::HeldTooLong, 0, None);
+            }
+        }
+    }
+
+    fn at(&mut self, at: f64, event: Ev) {
+        self.number += 1;
+        let slot = self.free.pop().unwrap_or(self.slots.len());
+        if slot == self.slots.len() {
+            self.slots.push(None);
+        }
+        self.slots[slot] = Some(event);
+        self.heap.push(Reverse((At(at.max(self.now)), self.number, slot)));
+    }
+
+    fn after(&mut self, span: f64, event: Ev) {
+        self.at(self.now + span, event);
+    }
+
+    /// One way of this mean length.
+    fn way(&mut self, mean: f64) -> f64 {
+        mean * self.ways.lognormal(self.day.scenario.network.jitter)
+    }
+
+    fn way_to(&mut self, proxy: usize, backend: usize) -> f64 {
+        let cross = self.proxies[proxy].zone != self.backends[backend].machine.zone;
+        self.way(self.day.ways[usize::from(cross)])
+    }
+
+    /// Whether the way between two zones is cut.
+    fn is_cut(&self, one: usize, other: usize) -> bool {
+        one != other && self.cut.is_some_and(|cut| cut == one || cut == other)
+    }
+
+    fn handle(&mut self, event: Ev) {
+        match event {
+            Ev::Arrive(request) => {
+                if request + 1 < self.day.requests.len() {
+                    self.at(self.day.requests[request + 1].at, Ev::Arrive(request + 1));
+                }
+                self.progress[request].in_share = self.within_share(request);
+                self.begin(request);
+            }
+            Ev::Retry(request) => self.begin(request),
+            Ev::AtProxy(t) => self.at_proxy(t),
+            Ev::GiveUp(t) => self.give_up(t),
+            Ev::AtClient(t, answer) => self.at_client(t, answer),
+            Ev::Timer { proxy, life, token } => {
+                if self.lives(proxy, life) {
+                    self.tell(proxy, Event::Timer(token));
+                }
+            }
+            Ev::AtBackend(attempt) => self.at_backend(attempt),
+            Ev::Work { backend, generation } => self.work(backend, generation),
+            Ev::Ended(attempt, outcome) => self.ended(attempt, outcome),
+            Ev::TimedOut(attempt) => self.ended(attempt, Outcome::TimedOut),
+            Ev::Gossip { from, bytes } => self.gossip(from, &bytes),
+            Ev::Call { proxy, life, watch } => self.call(proxy, life, watch),
+            Ev::Listed { proxy, life, scope, lines } => {
+                if self.lives(proxy, life) {
+                    self.listed(proxy, scope, &lines);
+                }
+            }
+            Ev::Notice(line) => self.notice(line),
+            Ev::Push => self.push(),
+            Ev::Look => {
+                self.late = std::mem::take(&mut self.truth);
+                self.look();
+                self.after(LATE, Ev::Look);
+            }
+            Ev::Begin(i) => self.begin_fault(i),
+            Ev::End(i) => self.end_fault(i),
+            Ev::Die(p) => self.die(p),
+            Ev::Rise(p) => self.rise(p),
+            Ev::Retire(b) => self.retire(b),
+            Ev::Stop(b) => {
+                self.stop(b);
+                self.tell_discovery(b, State::Gone);
+            }
+            Ev::Return(b) => {
+                self.backends[b].start(self.now);
+                self.seen_truth(b);
+                self.tell_discovery(b, State::Up);
+            }
+        }
+    }
+
+    // ---- clients and the front ----
+
+    /// Takes a request off its tenant's allowance, if there is any left: a second's worth at most is saved up.
+    fn within_share(&mut self, request: usize) -> bool {
+        let tenant = self.day.requests[request].tenant;
+        let Some(rate) = self.day.allowances.get(tenant) else { return true };
+        let (left, at) = &mut self.allowance[tenant];
+        *left = (*left + rate * (self.now - *at) / 1000.0).min(rate.max(1.0));
+        *at = self.now;
+        let within = *left >= 1.0;
+        *left -= f64::from(u8::from(within));
+        within
+    }
+
+    /// The proxy to which the front sends: it leaves out those known to be dead or to leave.
+    fn front(&self, zone: usize, place: f64) -> Option<usize> {
+        let notice = self.day.front_notice;
+        let sends = |p: &Proxy| !p.leaving && (p.alive || self.now - p.died < notice);
+        let near = self.proxies.iter().any(|p| p.zone == zone && sends(p));
+        let fits = |p: &&(usize, &Proxy)| sends(p.1) && (p.1.zone == zone || !near);
+        let mut place = place;
+        if let Some((first, part)) = self.hot {
+            if place < part {
+                let n = (self.proxies.len() / 50).max(1);
+                return Some((first + (place / part * n as f64) as usize) % self.proxies.len());
+            }
+            place = (place - part) / (1.0 - part).max(1e-9);
+        }
+        let all = || self.proxies.iter().enumerate();
+        let total: f64 = all().filter(|p| fits(&p)).map(|p| p.1.weight).sum();
+        let mut left = place * total;
+        let found = all().filter(|p| fits(&p)).find(|p| {
+            left -= p.1.weight;
+            left < 0.0
+        });
+        found.map(|p| p.0)
+    }
+
+    /// A client's try begins.
+    fn begin(&mut self, request: usize) {
+        let r = &self.day.requests[request];
+        self.progress[request].tries += 1;
+        self.ledger.sums.tries += 1;
+        // Each try meets another proxy.
+        let place = (r.place + 0.618 * f64::from(self.progress[request].tries - 1)).fract();
+        let deadline = self.day.scenario.classes[r.class].deadline_ms;
+        let last = r.at + deadline;
+        let due = (self.now + deadline * r.try_share).min(last);
+        let due = r.leaves.map_or(due, |part| due.min(r.at + part * deadline));
+        let Some(proxy) = self.front(r.zone, place) else {
+            return self.finish(request, End::ProxyDead, 0, None);
+        };
+        let life = self.proxies[proxy].life;
+        let t = self.tries.len();
+        let (open, answered, attempts) = (true, false, Vec::new());
+        self.tries.push(Try { request, proxy, life, sent: self.now, due, open, answered, attempts });
+        let way = self.way(self.day.ways[2]);
+        self.after(way, Ev::AtProxy(t));
+        self.at(due, Ev::GiveUp(t));
+    }
+
+    fn at_proxy(&mut self, t: usize) {
+        if !self.tries[t].open {
+            return; // its client left on the way
+        }
+        let (proxy, due) = (self.tries[t].proxy, self.tries[t].due);
+        if !self.proxies[proxy].alive {
+            self.tries[t].answered = true;
+            let way = self.way(self.day.ways[2]);
+            return self.after(way, Ev::AtClient(t, Answer::Broken));
+        }
+        self.tries[t].life = self.proxies[proxy].life;
+        let r = &self.day.requests[self.tries[t].request];
+        let event = Event::Request {
+            id: RequestId(t as u64),
+            class: ClassId(r.class),
+            tenant: (!self.day.allowances.is_empty()).then_some(TenantId(r.tenant)),
+            key: Some(Key(r.key)),
+            budget: due - self.now - self.day.ways[2],
+            hint: None,
+        };
+        self.tell(proxy, event);
+    }
+
+    fn give_up(&mut self, t: usize) {
+        if !self.tries[t].open {
+            return;
+        }
+        self.tries[t].open = false;
+        let (request, proxy, life) = (self.tries[t].request, self.tries[t].proxy, self.tries[t].life);
+        let early = self.day.requests[request].leaves.is_some();
+        let end = if early { End::ClientLeft } else { self.met(t) };
+        if !self.tries[t].answered {
+            self.tries[t].answered = true;
+            if self.lives(proxy, life) {
+                if !early {
+                    self.broken(
+                        "an answer before the client gives up",
+                        format!("request {request}, try {t}"),
+                    );
+                }
+                self.tell(proxy, Event::Abandoned(RequestId(t as u64)));
+            }
+        }
+        if early { self.finish(request, end, proxy, None) } else { self.again(t, end, 0.0) }
+    }
+
+    fn at_client(&mut self, t: usize, answer: Answer) {
+        if !std::mem::replace(&mut self.tries[t].open, false) {
+            return;
+        }
+        let (request, proxy) = (self.tries[t].request, self.tries[t].proxy);
+        let r = &self.day.requests[request];
+        let aim = self.day.scenario.classes[r.class].aim_ms;
+        match answer {
+            Answer::Served => {
+                let end = if self.now - r.at <= aim { End::Served } else { End::Late };
+                let backend = self.tries[t].attempts.last().map(|a| self.attempts[*a].backend);
+                self.finish(request, end, proxy, backend);
+            }
+            Answer::Broken => self.again(t, End::ProxyDead, 0.0),
+            Answer::Refused(after) => {
+                let end = self.met(t);
+                self.again(t, end, after);
+            }
+            Answer::Failed => {
+                let end = self.met(t);
+                self.again(t, end, 0.0);
+            }
+        }
+    }
+
+    /// What the last attempt of a try met; without one, whether it was held or refused.
+    fn met(&self, t: usize) -> End {
+        let tried = &self.tries[t];
+        if let Some(&last) = tried.attempts.last() {
+            let a = &self.attempts[last];
+            return a.met.unwrap_or_else(|| self.why_silent(a));
+        }
+        let r = &self.day.requests[tried.request];
+        let aim = self.day.scenario.classes[r.class].aim_ms;
+        let patience = aim.min(tried.due - tried.sent);
+        if self.now - tried.sent > 0.5 * patience {
+            End::HeldTooLong
+        } else if self.backends.iter().any(|b| b.is_idle(self.now)) {
+            End::RefusedBesideIdle
+        } else {
+            End::RefusedAllBusy
+        }
+    }
+
+    /// Why an attempt has no answer yet.
+    fn why_silent(&self, a: &Attempt) -> End {
+        let b = &self.backends[a.backend];
+        let zone = self.proxies[self.tries[a.of].proxy].zone;
+        if self.is_cut(zone, b.machine.zone) {
+            End::LostWay
+        } else if !b.up {
+            End::SentToGone
+        } else if b.silent {
+            End::SentToIll
+        } else if b.is_cold(self.now) {
+            End::SentToCold
+        } else {
+            End::SentToBusy
+        }
+    }
+
+    /// The client tries once more, if it has tries and time left.
+    fn again(&mut self, t: usize, end: End, after: f64) {
+        let request = self.tries[t].request;
+        let r = &self.day.requests[request];
+        let tries = self.progress[request].tries;
+        let backoff = self.day.backoff * f64::from(1u32 << (tries - 1).min(10)) * (0.5 + self.chance.unit());
+        let wait = backoff.max(after.min(2000.0));
+        let last = r.at + self.day.scenario.classes[r.class].deadline_ms;
+        if tries <= self.day.scenario.clients.retries && self.now + wait < last - 50.0 {
+            return self.after(wait, Ev::Retry(request));
+        }
+        let backend = self.tries[t].attempts.last().map(|a| self.attempts[*a].backend);
+        self.finish(request, end, self.tries[t].proxy, backend);
+    }
+
+    fn finish(&mut self, request: usize, end: End, proxy: usize, backend: Option<usize>) {
+        if std::mem::replace(&mut self.progress[request].over, true) {
+            return;
+        }
+        let took = self.now - self.day.requests[request].at;
+        let in_share = self.progress[request].in_share;
+        self.ledger.entries.push(Entry { request, end, proxy, backend, took, in_share });
+    }
+
+    // ---- proxies ----
+
+    fn lives(&self, proxy: usize, life: u32) -> bool {
+        self.proxies[proxy].alive && self.proxies[proxy].life == life
+    }
+
+    fn broken(&mut self, rule: &'static str, what: String) {
+        self.ledger.broken.push(Broken { rule, at: self.now, what });
+    }
+
+    /// A proxy that has just started gets its list as last seen.
+    fn greet(&mut self, p: usize) {
+        let entries = self.proxies[p].list.to_vec();
+        self.tell(p, Event::List { scope: Scope::Cached, entries });
+    }
+
+    /// Gives a proxy an event and carries out what it decides.
+    fn tell(&mut self, p: usize, event: Event) {
+        self.ledger.sums.events += 1;
+        let mut actions = std::mem::take(&mut self.actions);
+        self.proxies[p].brain.handle(self.now, event, (&self.truth, &self.late), &mut actions);
+        // What follows at once from an action is an event of its own, so this is never entered twice.
+        for action in actions.drain(..) {
+            self.perform(p, action);
+        }
+        self.actions = actions;
+    }
+
+    fn perform(&mut self, p: usize, action: Action) {
+        let life = self.proxies[p].life;
+        match action {
+            Action::Send { request, backend, timeout } => {
+                self.send(p, request.0 as usize, backend.0 as usize, timeout);
+            }
+            Action::Refuse { request, retry_after } => {
+                self.answer(request.0 as usize, Answer::Refused(retry_after.unwrap_or(0.0)));
+            }
+            Action::Fail(request) => self.answer(request.0 as usize, Answer::Failed),
+            Action::Timer { token, at } => self.at(at, Ev::Timer { proxy: p, life, token }),
+            Action::Broadcast(bytes) => {
+                if bytes.len() > 256 {
+                    self.broken("256 bytes a message", format!("proxy {p}: {}", bytes.len()));
+                }
+                let receivers = self.proxies.len() as u64 - 1;
+                self.ledger.sums.messages += 1;
+                self.ledger.sums.peer_bytes += bytes.len() as u64 * receivers;
+                let way = self.way(self.day.ways[3]);
+                self.after(way, Ev::Gossip { from: p, bytes: bytes.into() });
+            }
+            Action::Subscribe => self.after(1.0, Ev::Call { proxy: p, life, watch: true }),
+            Action::FetchList => self.after(1.0, Ev::Call { proxy: p, life, watch: false }),
+        }
+    }
+
+    /// The proxy's final answer goes out.
+    fn answer(&mut self, t: usize, answer: Answer) {
+        if std::mem::replace(&mut self.tries[t].answered, true) {
+            return self.broken("one final answer", format!("try {t}"));
+        }
+        let class = self.day.requests[self.tries[t].request].class;
+        let ran = self.tries[t].attempts.iter().any(|a| self.attempts[*a].may_have_run);
+        if matches!(answer, Answer::Refused(_)) && ran && self.day.effect(class) != EffectOf::Safe {
+            self.broken("refusals only when harmless", format!("try {t}"));
+        }
+        let way = self.way(self.day.ways[2]);
+        self.after(way, Ev::AtClient(t, answer));
+    }
+
+    fn send(&mut self, p: usize, t: usize, b: usize, timeout: Option<f64>) {
+        self.check_send(p, t, b);
+        self.ledger.sums.attempts += 1;
+        let (request, due) = (self.tries[t].request, self.tries[t].due - self.day.ways[2]);
+        let attempt = self.attempts.len();
+        let number = self.tries[t].attempts.len() as u32;
+        let (life, work) = (self.proxies[p].life, self.day.requests[request].work);
+        let (over, may_have_run, met) = (false, true, None);
+        self.attempts.push(Attempt {
+            of: t,
+            number,
+            backend: b,
+            life,
+            sent: self.now,
+            work,
+            over,
+            may_have_run,
+            met,
+        });
+        self.tries[t].attempts.push(attempt);
+        let until = timeout.map_or(due, |ms| due.min(self.now + ms));
+        self.at(until, Ev::TimedOut(attempt));
+        let crosses = self.proxies[p].zone != self.backends[b].machine.zone;
+        self.ledger.sums.crossings += u64::from(crosses);
+        let way = self.way_to(p, b);
+        let idle = self.proxies[p].idle.get_mut(&b).filter(|n| **n > 0);
+        let kept = idle.map(|n| *n -= 1).is_some();
+        if self.is_cut(self.proxies[p].zone, self.backends[b].machine.zone) {
+            // A new connection never comes up; on an old one the request is gone for good.
+            if !kept {
+                let wait = self.day.scenario.network.connect_timeout_ms;
+                self.attempts[attempt].met = Some(End::LostWay);
+                self.after(wait, Ev::Ended(attempt, Outcome::ConnectFailed));
+            }
+            return;
+        }
+        if kept {
+            return self.after(way, Ev::AtBackend(attempt));
+        }
+        let (ways, backend) = (self.day.scenario.network.handshake.1, &mut self.backends[b]);
+        if !backend.up || backend.connections >= backend.machine.connections {
+            self.attempts[attempt].met = Some(if backend.up { End::SentToFull } else { End::SentToGone });
+            return self.after(2.0 * way, Ev::Ended(attempt, Outcome::ConnectFailed));
+        }
+        backend.connections += 1;
+        self.ledger.sums.handshakes += 1;
+        backend.burden(self.now, self.day.handshake);
+        self.reckon(b);
+        self.after((1.0 + 2.0 * ways) * way, Ev::AtBackend(attempt));
+    }
+
+    /// The rules on a send.
+    fn check_send(&mut self, p: usize, t: usize, b: usize) {
+        let tried = &self.tries[t];
+        let what = format!("try {t}, backend {b}");
+        let class = self.day.requests[tried.request].class;
+        if tried.attempts.iter().any(|a| !self.attempts[*a].over) {
+            self.broken("never two attempts out", what.clone());
+        }
+        if self.tries[t].attempts.len() >= ATTEMPTS {
+            self.broken("attempts are bounded", what.clone());
+        }
+        let first = self.tries[t].attempts.iter().find(|a| self.attempts[**a].may_have_run);
+        if let Some(first) = first.map(|a| &self.attempts[*a]) {
+            let cells = (self.backends[first.backend].machine.cell, self.backends[b].machine.cell);
+            let fits = match self.day.effect(class) {
+                EffectOf::Safe => true,
+                EffectOf::Unsafe => false,
+                EffectOf::Keyed => cells.0 == cells.1 && self.now - first.sent <= KEYED,
+            };
+            if !fits {
+                self.broken("no unsafe repeat", what.clone());
+            }
+        }
+        if self.proxies[p].told.get(&b).is_some_and(|at| self.now - at > DRAIN_GRACE) {
+            self.broken("drains are kept", what);
+        }
+    }
+
+    /// An attempt's end reaches its proxy.
+    fn ended(&mut self, attempt: AttemptNo, outcome: Outcome) {
+        let a = &self.attempts[attempt];
+        let (t, b, number, life, sent) = (a.of, a.backend, a.number, a.life, a.sent);
+        let p = self.tries[t].proxy;
+        if a.over || !self.lives(p, life) {
+            return;
+        }
+        let way_cut = self.is_cut(self.proxies[p].zone, self.backends[b].machine.zone);
+        if way_cut && !matches!(outcome, Outcome::TimedOut | Outcome::ConnectFailed) {
+            return; // lost on its way back: the time-out comes
+        }
+        if self.attempts[attempt].met.is_none() && outcome == Outcome::TimedOut {
+            self.attempts[attempt].met = Some(self.why_silent(&self.attempts[attempt]));
+        }
+        let a = &mut self.attempts[attempt];
+        (a.over, a.may_have_run) = (true, outcome.may_have_run());
+        match outcome {
+            Outcome::Served | Outcome::Error | Outcome::Full => {
+                *self.proxies[p].idle.entry(b).or_default() += 1
+            }
+            Outcome::TimedOut => {
+                let backend = &mut self.backends[b];
+                backend.connections = backend.connections.saturating_sub(1);
+            }
+            _ => {}
+        }
+        let mut closed = self.tries[t].answered;
+        if outcome == Outcome::Served && !closed {
+            (self.tries[t].answered, closed) = (true, true);
+            let way = self.way(self.day.ways[2]);
+            self.after(way, Ev::AtClient(t, Answer::Served));
+        }
+        let event = Event::Ended {
+            request: RequestId(t as u64),
+            attempt: number,
+            latency: self.now - sent,
+            outcome,
+            closed,
+        };
+        self.tell(p, event);
+    }
+
+    fn gossip(&mut self, from: usize, bytes: &[u8]) {
+        let zone = self.proxies[from].zone;
+        for p in 0..self.proxies.len() {
+            let near = !self.is_cut(zone, self.proxies[p].zone);
+            if p != from
+                && self.proxies[p].alive
+                && near
+                && !self.ways.chance(self.day.scenario.network.peer_loss)
+            {
+                self.tell(p, Event::Message { from: from as u32, bytes: bytes.to_vec() });
+            }
+        }
+    }
+
+    fn die(&mut self, p: usize) {
+        let proxy = &mut self.proxies[p];
+        if !std::mem::replace(&mut proxy.alive, false) {
+            return;
+        }
+        (proxy.died, proxy.watches) = (self.now, false);
+        for (b, n) in proxy.idle.drain() {
+            self.backends[b].connections = self.backends[b].connections.saturating_sub(n as usize);
+        }
+        // Who waits there sees the connection break.
+        let life = proxy.life;
+        for t in 0..self.tries.len() {
+            let tried = &mut self.tries[t];
+            if tried.proxy == p && tried.life == life && tried.open && !tried.answered {
+                tried.answered = true;
+                let way = self.way(self.day.ways[2]);
+                self.after(way, Ev::AtClient(t, Answer::Broken));
+            }
+        }
+    }
+
+    fn rise(&mut self, p: usize) {
+        let seed = self.seeds.seed();
+        let proxy = &mut self.proxies[p];
+        (proxy.alive, proxy.leaving, proxy.life) = (true, false, proxy.life + 1);
+        proxy.brain = (self.brains)(p, seed);
+        proxy.told.clear();
+        self.greet(p);
+    }
+
+    // ---- discovery ----
+
+    /// The service learns of a change, late.
+    fn tell_discovery(&mut self, b: usize, state: State) {
+        let line = line(b, &self.backends[b], state);
+        self.after(self.day.discovery.0, Ev::Notice(line));
+    }
+
+    fn notice(&mut self, line: Line) {
+        let at = self.list.iter().position(|l| l.id == line.id);
+        match (line.state, at) {
+            (State::Gone, Some(at)) => drop(self.list.remove(at)),
+            (State::Gone, None) => return,
+            (_, Some(at)) => self.list[at] = line.clone(),
+            (_, None) => self.list.push(line.clone()),
+        }
+        self.changes.push(line);
+    }
+
+    /// A call waits its turn; one that would wait too long fails when it has.
+    fn call(&mut self, proxy: usize, life: u32, watch: bool) {
+        if !self.lives(proxy, life) {
+            return;
+        }
+        self.ledger.sums.calls += 1;
+        let timeout = self.day.scenario.discovery.timeout_ms;
+        let start = self.discovery_free.max(self.now);
+        if self.discovery_down || start - self.now > timeout {
+            self.ledger.sums.calls_failed += 1;
+            let lines: Rc<[Line]> = Rc::new([]);
+            return self.after(timeout, Ev::Listed { proxy, life, scope: Scope::Failed, lines });
+        }
+        self.discovery_free = start + 1000.0 / self.day.discovery.1;
+        (self.proxies[proxy].seen, self.proxies[proxy].watches) = (self.changes.len(), watch);
+        let lines: Rc<[Line]> = self.list.clone().into();
+        self.at(self.discovery_free, Ev::Listed { proxy, life, scope: Scope::Full, lines });
+    }
+
+    fn push(&mut self) {
+        self.after(self.day.scenario.discovery.push_ms, Ev::Push);
+        for proxy in 0..self.proxies.len() {
+            let p = &mut self.proxies[proxy];
+            if !p.alive || !p.watches || p.seen >= self.changes.len() || self.discovery_down {
+                continue;
+            }
+            let lines: Rc<[Line]> = self.changes[p.seen..].to_vec().into();
+            p.seen = self.changes.len();
+            let life = p.life;
+            self.after(1.0, Ev::Listed { proxy, life, scope: Scope::Delta, lines });
+        }
+    }
+
+    fn listed(&mut self, p: usize, scope: Scope, lines: &[Line]) {
+        let proxy = &mut self.proxies[p];
+        if scope == Scope::Full {
+            proxy.list = lines.to_vec().into();
+            proxy.told.retain(|b, _| lines.iter().all(|l| l.id.0 as usize != *b));
+            for b in 0..self.backends.len() {
+                if lines.iter().all(|l| l.id.0 as usize != b) {
+                    proxy.told.entry(b).or_insert(self.now);
+                }
+            }
+        }
+        for line in lines {
+            let b = line.id.0 as usize;
+            match line.state {
+                State::Up => drop(proxy.told.remove(&b)),
+                _ => drop(proxy.told.entry(b).or_insert(self.now)),
+            }
+        }
+        if scope == Scope::Failed {
+            proxy.watches = false;
+        }
+        self.tell(p, Event::List { scope, entries: lines.to_vec() });
+    }
+
+    // ---- backends ----
+
+    fn look(&mut self) {
+        self.truth.holds.clear();
+        self.truth.capacity.clear();
+        for b in 0..self.backends.len() {
+            self.truth.holds.push(0.0);
+            self.truth.capacity.push(0.0);
+            self.seen_truth(b);
+        }
+    }
+
+    /// Notes the true state of a backend for those that see it.
+    fn seen_truth(&mut self, b: usize) {
+        let backend = &self.backends[b];
+        let serves = backend.up && !backend.draining && !backend.silent && backend.failing < 0.05;
+        self.truth.holds[b] = backend.holds() as f64;
+        self.truth.capacity[b] = if serves { backend.capacity(self.now) } else { 0.0 };
+    }
+
+    /// Plans a backend's next end anew after a change.
+    fn reckon(&mut self, b: usize) {
+        self.seen_truth(b);
+        let generation = self.backends[b].generation;
+        if let Some(at) = self.backends[b].next_end(self.now) {
+            self.at(at, Ev::Work { backend: b, generation });
+        }
+    }
+
+    fn at_backend(&mut self, attempt: AttemptNo) {
+        let a = &self.attempts[attempt];
+        let (t, b, work) = (a.of, a.backend, a.work);
+        let p = self.tries[t].proxy;
+        let way = self.way_to(p, b);
+        if self.is_cut(self.proxies[p].zone, self.backends[b].machine.zone) {
+            return; // lost on its way
+        }
+        // By the mean work of its class: what one request draws no proxy can know, and the rule leaves slack for it.
+        let class = self.day.requests[self.tries[t].request].class;
+        let (cold, mean) = (&self.day.scenario.cold, self.day.works[class]);
+        if self.backends[b].up
+            && self.backends[b].strains(self.now, mean, cold.multiple, cold.fall_s * 1000.0)
+        {
+            let told = self.backends[b].strain();
+            self.broken("no cold backend is pushed over", format!("backend {b}: {told}"));
+            self.stop(b);
+        }
+        let fails = self.backends[b].failing;
+        if self.backends[b].up && fails > 0.0 && self.chance.chance(fails) {
+            self.attempts[attempt].met = Some(End::SentToIll);
+            return self.after(QUICK + way, Ev::Ended(attempt, Outcome::Error));
+        }
+        let key = self.day.requests[self.tries[t].request].key;
+        match self.backends[b].arrive(self.now, attempt, work, key) {
+            Taken::In => self.reckon(b),
+            Taken::Full => {
+                self.attempts[attempt].met = Some(End::SentToFull);
+                self.after(way, Ev::Ended(attempt, Outcome::Full));
+            }
+            Taken::Silent => {}
+            Taken::Down => {
+                self.attempts[attempt].met = Some(End::SentToGone);
+                self.after(way, Ev::Ended(attempt, Outcome::ConnectFailed));
+            }
+        }
+    }
+
+    fn work(&mut self, b: usize, generation: u64) {
+        if self.backends[b].generation != generation {
+            return; // something has changed since
+        }
+        let Some(attempt) = self.backends[b].finish(self.now) else { return };
+        self.reckon(b);
+        let a = &self.attempts[attempt];
+        let (t, life) = (a.of, a.life);
+        let p = self.tries[t].proxy;
+        if a.over || self.tries[t].answered || !self.lives(p, life) {
+            self.ledger.sums.wasted += a.work;
+        }
+        let rate = self.backends[b].machine.error_rate;
+        let error = self.chance.chance(rate);
+        if error {
+            self.attempts[attempt].met = Some(End::Error);
+        }
+        let way = self.way_to(p, b);
+        self.after(way, Ev::Ended(attempt, if error { Outcome::Error } else { Outcome::Served }));
+    }
+
+    /// A backend's process ends: its connections break.
+    fn stop(&mut self, b: usize) {
+        let lost = self.backends[b].die(self.now);
+        for attempt in lost {
+            self.attempts[attempt].met = Some(End::SentToGone);
+            let way = self.way_to(self.tries[self.attempts[attempt].of].proxy, b);
+            self.after(way, Ev::Ended(attempt, Outcome::Reset));
+        }
+        for proxy in &mut self.proxies {
+            proxy.idle.remove(&b);
+        }
+        self.seen_truth(b);
+    }
+
+    /// A backend is replaced by a new one: it drains, and the other starts cold.
+    fn retire(&mut self, b: usize) {
+        self.backends[b].draining = true;
+        self.seen_truth(b);
+        self.tell_discovery(b, State::Draining);
+        self.after(DRAIN, Ev::Stop(b));
+        let mut fresh = Backend::new(self.backends[b].machine.clone());
+        fresh.start(self.now);
+        let number = self.backends.len();
+        self.backends.push(fresh);
+        self.truth.holds.push(0.0);
+        self.truth.capacity.push(0.0);
+        self.late.holds.push(0.0);
+        self.late.capacity.push(0.0);
+        self.seen_truth(number);
+        self.tell_discovery(number, State::Up);
+    }
+
+    // ---- faults ----
+
+    /// The members of a part of `n`, drawn for this fault alone.
+    fn struck(&self, i: usize, n: usize) -> Vec<usize> {
+        let mut draw = Draw::new(self.day.seed, &format!("fault {i}"));
+        let mut all: Vec<usize> = (0..n).collect();
+        let count = (self.day.faults[i].part * n as f64).round() as usize;
+        for k in 0..count.min(n) {
+            let other = k + draw.below(n - k);
+            all.swap(k, other);
+        }
+        all.truncate(count);
+        all
+    }
+
+    fn begin_fault(&mut self, i: usize) {
+        let Fault { kind, from, until, size, .. } = self.day.faults[i];
+        let initial = self.day.machines.len();
+        match kind {
+            FaultKind::KillProxies => {
+                for p in self.struck(i, self.proxies.len()) {
+                    self.die(p);
+                    let spread = 1.0 + 0.2 * self.chance.unit();
+                    self.after(size * 1000.0 * spread, Ev::Rise(p));
+                }
+            }
+            FaultKind::RollProxies => {
+                let n = self.proxies.len();
+                for p in 0..n {
+                    let at = from + (until - from) * p as f64 / n as f64;
+                    self.at(at + FAREWELL, Ev::Die(p));
+                    self.at(at + FAREWELL + size * 1000.0, Ev::Rise(p));
+                }
+            }
+            FaultKind::ReplaceBackends => {
+                let all = self.struck(i, initial);
+                let n = all.len().max(1) as f64;
+                for (k, b) in all.into_iter().enumerate() {
+                    self.at(from + (until - from) * k as f64 / n, Ev::Retire(b));
+                }
+            }
+            FaultKind::LoseZone => {
+                for b in (0..initial).filter(|b| self.day.machines[*b].zone == 0) {
+                    self.stop(b);
+                    self.at(until, Ev::Return(b));
+                }
+            }
+            FaultKind::CutZone => self.cut = Some(self.day.scenario.zones.len() - 1),
+            FaultKind::SilentBackends | FaultKind::FailingBackends | FaultKind::SlowBackends => {
+                self.ail(i, true)
+            }
+            FaultKind::HotProxies => {
+                let mut draw = Draw::new(self.day.seed, &format!("fault {i}"));
+                self.hot = Some((draw.below(self.proxies.len()), size.min(0.95)));
+            }
+            FaultKind::DiscoveryDown => {
+                self.discovery_down = true;
+                for proxy in 0..self.proxies.len() {
+                    if std::mem::replace(&mut self.proxies[proxy].watches, false) {
+                        let (life, lines) = (self.proxies[proxy].life, Rc::new([]));
+                        self.after(1.0, Ev::Listed { proxy, life, scope: Scope::Failed, lines });
+                    }
+                }
+            }
+            FaultKind::Burst | FaultKind::TenantBurst => {} // drawn with the requests
+        }
+    }
+
+    fn end_fault(&mut self, i: usize) {
+        match self.day.faults[i].kind {
+            FaultKind::CutZone => self.cut = None,
+            FaultKind::SilentBackends | FaultKind::FailingBackends | FaultKind::SlowBackends => {
+                self.ail(i, false)
+            }
+            FaultKind::HotProxies => self.hot = None,
+            FaultKind::DiscoveryDown => self.discovery_down = false,
+            _ => {}
+        }
+    }
+
+    /// Backends fall ill or recover.
+    fn ail(&mut self, i: usize, ill: bool) {
+        let Fault { kind, size, .. } = self.day.faults[i];
+        for b in self.struck(i, self.day.machines.len()) {
+            let backend = &mut self.backends[b];
+            match kind {
+                FaultKind::SilentBackends => backend.silent = ill,
+                FaultKind::FailingBackends => backend.failing = if ill { size.min(1.0) } else { 0.0 },
+                _ => backend.slower = if ill { size.max(1.0) } else { 1.0 },
+            }
+            backend.generation += 1;
+            self.reckon(b);
+        }
+    }
+}
+
+/// What the list says of a backend.
+fn line(number: usize, backend: &Backend, state: State) -> Line {
+    let m = &backend.machine;
+    Line {
+        id: BackendId(number as u64),
+        zone: Some(ZoneId(m.zone as u32)),
+        kind: Some(KindId(m.kind as u32)),
+        cell: Some(CellId(m.cell)),
+        state,
+        rating: m.rating,
+        since: backend.born.is_finite().then_some(backend.born),
+    }
+}
+
+/// What a proxy is told, as the operators' settings tell it.
+fn settings(day: &Day, p: usize) -> Settings {
+    let s = &day.scenario;
+    let class = |c: &crate::scenario::ClassOf| Class {
+        aim: c.aim_ms,
+        deadline: c.deadline_ms,
+        aim_stretch: 0.0,
+        worth: c.worth,
+        late_worth: 0.0,
+        effect: match c.effect {
+            EffectOf::Safe => Effect::Safe,
+            EffectOf::Unsafe => Effect::Unsafe,
+            EffectOf::Keyed => Effect::Keyed { group: Group::Cell, window: KEYED },
+        },
+    };
+    Settings {
+        me: p as u32,
+        proxies: day.proxies.len() as u32,
+        zone: Some(ZoneId(day.proxies[p].0 as u32)),
+        classes: s.classes.iter().map(class).collect(),
+        tenants: day.allowances.iter().map(|a| Tenant { allowance_per_s: *a }).collect(),
+        over_share_worth: s.over_share_worth,
+        worth_by_work: false,
+        discovery: Discovery::OnRequest,
+        rating: Rating::Size,
+        warm_keys: true,
+        may_tell: true,
+        prices: Prices { cross_zone: s.prices.cross_zone },
+        limits: Limits {
+            start_capacity: s.cold.start,
+            cold: s.cold.span_s * 1000.0,
+            fall_multiple: s.cold.multiple,
+            fall: s.cold.fall_s * 1000.0,
+            most_held: 320,
+            max_attempts: ATTEMPTS as u32,
+        },
+    }
+}
