--- a/crates/lab/src/ledger.rs
+++ b/crates/lab/src/ledger.rs
@@ -18,8 +18,10 @@
     RefusedBesideIdle,
     /// Refused without an attempt while none had.
     RefusedAllBusy,
-    /// Held without an attempt until it was of no more use.
-    HeldTooLong,
+    /// Held without an attempt until it was of no more use, and then a healthy backend had an idle core.
+    HeldBesideIdle,
+    /// The same, and none had.
+    HeldAllBusy,
     /// Its last attempt was turned away by a full or draining backend.
     SentToFull,
     /// Its last attempt met a backend that was down.
@@ -91,6 +93,8 @@
     pub wasted: f64,
     /// Events that proxies handled.
     pub events: u64,
+    /// The part of the day for which a mean core was at work.
+    pub busy: f64,
 }
 
 /// All that is kept of a day.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,11 +2,13 @@
 //! as in service. What the model assumes and leaves out stands in `docs/lab.md`.
 
 pub mod backend;
+pub mod compare;
 pub mod day;
 pub mod decide;
 pub mod draw;
 pub mod ledger;
 pub mod scenario;
+pub mod wire;
 pub mod world;
 
 pub use day::Day;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,8 @@
 
 use clap::{Args, Parser, Subcommand};
 use comfy_table::Table;
+use indicatif::{ProgressBar, ProgressStyle};
+use leadrelay_lab::compare::Difference;
 use leadrelay_lab::{Day, Pick, Result, Scenario, Version, play};
 use rayon::prelude::*;
 
@@ -28,6 +30,39 @@
     Run(Run),
     /// Hold the core against the baselines on the same days
     Baselines(Run),
+    /// Hold two versions against each other on the same days
+    Compare(Compare),
+}
+
+#[derive(Debug, Args)]
+struct Compare {
+    /// The one: `core`, a baseline's name, or the path of another build's adapter
+    #[arg(value_parser = version)]
+    a: Version,
+    /// The other
+    #[arg(value_parser = version)]
+    b: Version,
+    /// The days
+    #[command(flatten)]
+    days: Run,
+}
+
+/// A version by its name or path.
+fn version(text: &str) -> std::result::Result<Version, String> {
+    use clap::ValueEnum as _;
+    if text == "core" {
+        return Ok(Version::Core);
+    }
+    if let Ok(pick) = Pick::from_str(text, true) {
+        return Ok(Version::Baseline(pick));
+    }
+    let path = PathBuf::from(text);
+    let names: Vec<_> = Pick::value_variants().iter().filter_map(|p| p.to_possible_value()).collect();
+    let names: Vec<&str> = names.iter().map(|n| n.get_name()).collect();
+    match path.is_file() {
+        true => Ok(Version::Adapter(path)),
+        false => Err(format!("neither 'core', nor {}, nor the path of an adapter", names.join(", "))),
+    }
 }
 
 #[derive(Debug, Args)]
@@ -68,9 +103,20 @@
     Ok(scenario)
 }
 
-fn days(run: &Run, scenario: &Scenario, version: Version) -> Vec<Result> {
+fn days(run: &Run, scenario: &Scenario, version: &Version) -> std::result::Result<Vec<Result>, String> {
     let seeds: Vec<u64> = (run.seed..run.seed + run.seeds).collect();
-    seeds.par_iter().map(|seed| play(&Day::draw(scenario, *seed), version)).collect()
+    let bar = ProgressBar::new(run.seeds).with_message(version.name());
+    if let Ok(style) = ProgressStyle::with_template("{msg} {bar:30} {pos}/{len} days") {
+        bar.set_style(style);
+    }
+    let day = |seed: &u64| {
+        let result = play(&Day::draw(scenario, *seed), version);
+        bar.inc(1);
+        result.map_err(|e| format!("{}: {e}", version.name()))
+    };
+    let results = seeds.par_iter().map(day).collect();
+    bar.finish_and_clear();
+    results
 }
 
 fn table(header: &[&str]) -> Table {
@@ -95,8 +141,16 @@
     );
     let s = &result.sums;
     println!(
-        "{} requests, {} tries, {} attempts, {} handshakes, {} messages, {} of {} calls to discovery failed, {} events",
-        result.requests, s.tries, s.attempts, s.handshakes, s.messages, s.calls_failed, s.calls, s.events
+        "{} requests, {} tries, {} attempts, {} handshakes, {} messages, {} of {} calls to discovery failed, {} events, cores busy {:.2}",
+        result.requests,
+        s.tries,
+        s.attempts,
+        s.handshakes,
+        s.messages,
+        s.calls_failed,
+        s.calls,
+        s.events,
+        s.busy
     );
     let prices = result.prices.iter().map(|(name, price)| format!("{name} {price:.4}"));
     println!("prices: {}", prices.collect::<Vec<_>>().join(", "));
@@ -114,7 +168,7 @@
 
 fn run(run: &Run) -> std::result::Result<bool, String> {
     let scenario = scenario(run)?;
-    let results = days(run, &scenario, run.baseline.map_or(Version::Core, Version::Baseline));
+    let results = days(run, &scenario, &run.baseline.map_or(Version::Core, Version::Baseline))?;
     for result in &results {
         if run.json {
             println!("{}", serde_json::to_string(result).map_err(|e| e.to_string())?);
@@ -139,7 +193,7 @@
     ];
     let mut shown = table(&["by", "G", "served", "worst 10 s", "worst class", "rules broken"]);
     for version in all {
-        let results = days(run, &scenario, version);
+        let results = days(run, &scenario, &version)?;
         let mean = |f: &dyn Fn(&Result) -> f64| {
             format!("{:.3}", results.iter().map(f).sum::<f64>() / results.len() as f64)
         };
@@ -157,10 +211,55 @@
     Ok(true)
 }
 
+fn compare(options: &Compare) -> std::result::Result<bool, String> {
+    let scenario = scenario(&options.days)?;
+    let (a, b) = (days(&options.days, &scenario, &options.a)?, days(&options.days, &scenario, &options.b)?);
+    type Figure = (&'static str, fn(&Result) -> f64);
+    let figures: [Figure; 5] = [
+        ("G", |r| r.g),
+        ("served", |r| r.served),
+        ("worst 10 s", |r| r.worst_window.0),
+        ("worst class", |r| r.worst_class),
+        ("rules broken", |r| r.broken.len() as f64),
+    ];
+    let mut shown = table(&["figure", "A", "B", "B - A, median", "95%", "B ahead, behind, equal", ""]);
+    let mut all = serde_json::Map::new();
+    for (name, figure) in figures {
+        let pairs: Vec<(f64, f64)> = a.iter().zip(&b).map(|(a, b)| (figure(a), figure(b))).collect();
+        let Some(d) = Difference::of(&pairs, options.days.seed) else { continue };
+        let mean = |f: &dyn Fn(&(f64, f64)) -> f64| {
+            format!("{:.4}", pairs.iter().map(f).sum::<f64>() / pairs.len() as f64)
+        };
+        let word = if d.shows() { "differs" } else { "no difference shown" };
+        let [ahead, behind, equal] = d.wins;
+        shown.add_row([
+            name.to_owned(),
+            mean(&|p| p.0),
+            mean(&|p| p.1),
+            format!("{:+.4}", d.median),
+            format!("{:+.4} to {:+.4}", d.low, d.high),
+            format!("{ahead}, {behind}, {equal}"),
+            word.to_owned(),
+        ]);
+        all.insert(name.to_owned(), serde_json::to_value(&d).map_err(|e| e.to_string())?);
+    }
+    if options.days.json {
+        println!("{}", serde_json::Value::Object(all));
+    } else {
+        let (a, b) = (options.a.name(), options.b.name());
+        println!(
+            "{}: A {a}, B {b}, {} days from seed {}\n{shown}",
+            scenario.name, options.days.seeds, options.days.seed
+        );
+    }
+    Ok(true)
+}
+
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
         Command::Run(options) => run(&options),
         Command::Baselines(options) => baselines(&options),
+        Command::Compare(options) => compare(&options),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -5,6 +5,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::path::PathBuf;
 use std::rc::Rc;
 
 use leadrelay_core::{
@@ -20,22 +21,26 @@
 use crate::draw::Draw;
 use crate::ledger::{Broken, End, Entry, Ledger, Result};
 use crate::scenario::{EffectOf, FaultKind};
+use crate::wire::{Adapter, Instance};
 
 /// Who decides.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Version {
     /// The core of this build.
     Core,
     /// A baseline.
     Baseline(Pick),
+    /// Another build, by its adapter for the operators' simulator.
+    Adapter(PathBuf),
 }
 
 impl Version {
     /// Its name in results.
-    pub fn name(self) -> String {
+    pub fn name(&self) -> String {
         match self {
             Version::Core => "core".into(),
             Version::Baseline(pick) => format!("{pick:?}"),
+            Version::Adapter(path) => path.display().to_string(),
         }
     }
 }
@@ -174,14 +179,22 @@
 }
 
 /// Plays a day. The same day and version give the same result.
-pub fn play(day: &Day, version: Version) -> Result {
+///
+/// # Errors
+/// If an adapter can't be started.
+pub fn play(day: &Day, version: &Version) -> std::io::Result<Result> {
+    let adapter = match version {
+        Version::Adapter(path) => Some(Adapter::start(path)?),
+        _ => None,
+    };
     let brains = |p, seed| -> Box<dyn Decide> {
-        match version {
-            Version::Core => Box::new(Balancer::new(settings(day, p), seed)),
-            Version::Baseline(pick) => Box::new(Baseline::new(pick, seed)),
+        match (version, &adapter) {
+            (Version::Baseline(pick), _) => Box::new(Baseline::new(*pick, seed)),
+            (_, Some(adapter)) => Box::new(Instance::new(adapter.clone(), day, p, seed)),
+            (_, None) => Box::new(Balancer::new(settings(day, p), seed)),
         }
     };
-    play_by(day, &version.name(), &brains)
+    Ok(play_by(day, &version.name(), &brains))
 }
 
 /// Who decides for a proxy of this number, from this seed.
@@ -274,10 +287,12 @@
                 self.handle(event);
             }
         }
+        let cores: f64 = self.day.machines.iter().map(|m| m.cores).sum();
+        self.ledger.sums.busy = self.backends.iter().map(|b| b.busy).sum::<f64>() / (cores * self.day.length);
         // Whoever has no end yet waits for an answer that did not come in all this time.
         for request in 0..self.progress.len() {
             if !self.progress[request].over {
-                self.finish(request, End::HeldTooLong, 0, None);
+                self.finish(request, End::HeldAllBusy, 0, None);
             }
         }
     }
@@ -506,12 +521,12 @@
         let r = &self.day.requests[tried.request];
         let aim = self.day.scenario.classes[r.class].aim_ms;
         let patience = aim.min(tried.due - tried.sent);
-        if self.now - tried.sent > 0.5 * patience {
-            End::HeldTooLong
-        } else if self.backends.iter().any(|b| b.is_idle(self.now)) {
-            End::RefusedBesideIdle
-        } else {
-            End::RefusedAllBusy
+        let idle = self.backends.iter().any(|b| b.is_idle(self.now));
+        match (self.now - tried.sent > 0.5 * patience, idle) {
+            (true, true) => End::HeldBesideIdle,
+            (true, false) => End::HeldAllBusy,
+            (false, true) => End::RefusedBesideIdle,
+            (false, false) => End::RefusedAllBusy,
         }
     }
 
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -3,7 +3,7 @@
 
 use leadrelay_core::{Action, Event, Outcome};
 use leadrelay_lab::decide::Baseline;
-use leadrelay_lab::{Day, Decide, End, Pick, Scenario, Truth, Version, play, play_by};
+use leadrelay_lab::{Day, Decide, End, Pick, Scenario, Truth, Version, play_by};
 
 fn scenarios() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios")
@@ -13,6 +13,10 @@
     Scenario::read(&scenarios().join(name)).expect("good")
 }
 
+fn play(day: &Day, version: Version) -> leadrelay_lab::Result {
+    leadrelay_lab::play(day, &version).expect("no adapter to start")
+}
+
 /// A day small enough for a test, with this scenario's faults.
 fn small(name: &str, seed: u64) -> Day {
     let mut s = scenario(name);
--- /dev/null
+++ b/crates/lab/tests/lab.rs
@@ -0,0 +1,61 @@
+//! The lab's command line: what it prints and how it exits.
+use std::path::Path;
+use std::process::{Command, Output};
+
+fn lab(args: &[&str]) -> Output {
+    let scenarios = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_leadrelay-lab"));
+    command.current_dir(scenarios).args(args).output().expect("it starts")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8(bytes.to_vec()).expect("text")
+}
+
+#[test]
+fn the_same_seed_prints_the_same_bytes() {
+    let run =
+        |seed| lab(&["run", "headend.toml", "--seed", seed, "--seconds", "8", "--seeds", "3", "--json"]);
+    let (one, two) = (run("1"), run("1"));
+    assert_eq!(one.status.code(), Some(0), "{}", text(&one.stderr));
+    assert_eq!(one.stdout, two.stdout);
+    assert_eq!(text(&one.stdout).lines().count(), 3, "a line a day");
+    assert_ne!(one.stdout, run("2").stdout);
+}
+
+#[test]
+fn a_person_reads_where_the_worth_went() {
+    let told = text(&lab(&["run", "headend.toml", "--seconds", "8"]).stdout);
+    for word in ["headend seed 1 by core: G 0.", "where the worth went", "Served", "prices: cross_zone"] {
+        assert!(told.contains(word), "{word} in {told}");
+    }
+}
+
+#[test]
+fn compare_tells_apart_what_differs_and_not_what_is_equal() {
+    let compare = |a: &str, b: &str| {
+        let run = lab(&["compare", a, b, "headend.toml", "--seconds", "15", "--seeds", "8", "--json"]);
+        let told: serde_json::Value = serde_json::from_slice(&run.stdout).expect("JSON");
+        told["served"].clone()
+    };
+    let equal = compare("core", "core");
+    assert_eq!((&equal["median"], &equal["wins"]), (&0.0.into(), &serde_json::json!([0, 0, 8])));
+    let other = compare("random", "core");
+    assert!(other["low"].as_f64() > Some(0.0), "{other}");
+}
+
+#[test]
+fn what_can_not_be_used_is_one_line_and_exit_code_2() {
+    for (args, word) in [
+        (&["run", "nowhere.toml"][..], "nowhere.toml: "),
+        (&["compare", "core", "no/such/adapter", "headend.toml"], "nor the path of an adapter"),
+        (&["run", "headend.toml", "--seeds", "0"], "--seeds"),
+        (&["play"], "play"),
+    ] {
+        let run = lab(args);
+        assert_eq!(run.status.code(), Some(2), "{args:?}: {}", text(&run.stderr));
+        assert!(text(&run.stderr).contains(word), "{args:?}: {}", text(&run.stderr));
+    }
+    let run = lab(&["compare", "headend.toml", "core", "headend.toml", "--seconds", "2"]);
+    assert_eq!(run.status.code(), Some(2), "a file that is no program: {}", text(&run.stderr));
+}
