Lab: the ends by class, zone, proxy, backend and second

Change: each dimension sums to the whole, which a test checks; class and zone stand in the table, the others in JSON.

A proxy with one or two waiting requests can't put the worthier of the fleet first: its own queue is all it orders.

--- a/crates/lab/src/ledger.rs
+++ b/crates/lab/src/ledger.rs
@@ -131,6 +131,8 @@
     pub prices: BTreeMap<&'static str, f64>,
     /// Worth by the cause of its end, as a part of all that was asked for.
     pub ends: BTreeMap<End, f64>,
+    /// The same by class, zone, proxy and backend of the last try, and second of the first; each sums to `ends`.
+    pub by: BTreeMap<&'static str, BTreeMap<String, BTreeMap<End, f64>>>,
     /// Requests.
     pub requests: usize,
     /// Sums.
@@ -168,6 +170,7 @@
         let worth =
             |e: &Entry| day.requests[e.request].worth * if e.in_share { 1.0 } else { s.over_share_worth };
         let (mut whole, mut ends) = (Part::default(), BTreeMap::<End, f64>::new());
+        let mut by = BTreeMap::<&str, BTreeMap<String, BTreeMap<End, f64>>>::new();
         let mut classes = vec![Part::default(); s.classes.len()];
         let mut tenants = vec![Part::default(); s.tenants.len().max(1)];
         let seconds = (day.length / 1000.0).ceil() as usize;
@@ -181,9 +184,24 @@
             }
             by_second[((r.at / 1000.0) as usize).min(seconds.max(1) - 1)].add(worth, served);
             *ends.entry(e.end).or_default() += worth;
+            let backend = e.backend.map_or_else(|| "none".to_owned(), |b| b.to_string());
+            for (dimension, place) in [
+                ("class", s.classes[r.class].name.clone()),
+                ("zone", s.zones[r.zone].clone()),
+                ("proxy", e.proxy.to_string()),
+                ("backend", backend),
+                ("second", format!("{:.0}", (r.at / 1000.0).floor())),
+            ] {
+                *by.entry(dimension).or_default().entry(place).or_default().entry(e.end).or_default() +=
+                    worth;
+            }
         }
         let total = whole.asked.max(1e-9);
         ends.values_mut().for_each(|w| *w /= total);
+        by.values_mut()
+            .flat_map(BTreeMap::values_mut)
+            .flat_map(BTreeMap::values_mut)
+            .for_each(|w| *w /= total);
         let span = ((WINDOW / 1000.0) as usize).min(by_second.len());
         let windows = by_second.windows(span).enumerate().map(|(at, window)| {
             let mut sum = Part::default();
@@ -218,6 +236,7 @@
             worst_tenant,
             prices,
             ends,
+            by,
             requests: day.requests.len(),
             sums: self.sums.clone(),
             broken: self.broken.iter().take(20).cloned().collect(),
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -156,9 +156,16 @@
     println!("prices: {}", prices.collect::<Vec<_>>().join(", "));
     let mut ends: Vec<_> = result.ends.iter().collect();
     ends.sort_by(|a, b| b.1.total_cmp(a.1));
-    let mut shown = table(&["where the worth went", "part"]);
+    let places: Vec<_> = ["class", "zone"].iter().filter_map(|d| result.by.get(d)).flatten().collect();
+    let names = places.iter().map(|(name, _)| name.as_str());
+    let mut shown = table(&["where the worth went", "of all"].into_iter().chain(names).collect::<Vec<_>>());
     for (end, part) in ends {
-        shown.add_row([format!("{end:?}"), format!("{:.2}%", 100.0 * part)]);
+        let of = |ends: &std::collections::BTreeMap<leadrelay_lab::End, f64>| {
+            let all: f64 = ends.values().sum();
+            format!("{:.2}%", 100.0 * ends.get(end).copied().unwrap_or(0.0) / all.max(1e-9))
+        };
+        let row = [format!("{end:?}"), format!("{:.2}%", 100.0 * part)];
+        shown.add_row(row.into_iter().chain(places.iter().map(|(_, ends)| of(ends))));
     }
     println!("{shown}");
     for broken in &result.broken {
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -51,6 +51,13 @@
         let served = result.ends.get(&End::Served).copied().unwrap_or(0.0);
         assert!((served - result.served).abs() < 1e-9, "{name}");
         assert_eq!(result.requests, day.requests.len());
+        for (dimension, places) in &result.by {
+            for (end, part) in &result.ends {
+                let sum: f64 = places.values().filter_map(|ends| ends.get(end)).sum();
+                assert!((sum - part).abs() < 1e-9, "{name}, {dimension}, {end:?}: {sum} of {part}");
+            }
+        }
+        assert_eq!(result.by.len(), 5);
     }
 }
 
