--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,9 +27,10 @@
 mod records;
 #[cfg(feature = "settings")]
 pub mod settings;
+mod standing;
 mod state;
 
-pub use gauges::{Choices, Gauges, Standing};
 pub use interface::*;
 pub use policy::threshold::threshold;
+pub use standing::{Choices, Gauges, Standing};
 pub use state::Balancer;
--- a/crates/core/src/policy/threshold.rs
+++ b/crates/core/src/policy/threshold.rs
@@ -3,9 +3,9 @@
 use super::cold::COLD_PART;
 use super::health::ALL_ILL;
 use super::review::TICK;
-use crate::gauges::{AT_ONCE, HELD, PAST_THRESHOLD, URGENT};
 use crate::interface::*;
 use crate::records::Request;
+use crate::standing::{AT_ONCE, HELD, PAST_THRESHOLD, URGENT};
 use crate::state::Balancer;
 
 /// The largest τ in 0..=m(R−1) for which (3.3) is negative.
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,11 +1,11 @@
 //! All that one proxy's decisions know, and the plumbing of its queues. Nothing is decided here.
 use crate::bands::Bands;
-use crate::gauges::Choices;
 use crate::interface::*;
 use crate::message::Peer;
 use crate::number::draw;
 use crate::overlay::Overlay;
 use crate::records::{Attempt, Kind, Request, Server};
+use crate::standing::Choices;
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 
--- a/crates/proxy/src/frontend.rs
+++ b/crates/proxy/src/frontend.rs
@@ -27,13 +27,14 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use tracing::{info, warn};
 
+use crate::cause::Cause;
 use crate::classes::Classes;
 use crate::config::Dialect;
 use crate::flow::{self, Fault, Flow, Pace};
 use crate::handover::Handover;
 use crate::head::{self, Asked, Wrong};
 use crate::inbox::{Answer, Arrival, Inbox, Input};
-use crate::metrics::{Cause, Metrics, Taken};
+use crate::metrics::{Metrics, Taken};
 use crate::open_ids::{OpenId, OpenIds};
 use crate::trail::Trail;
 use crate::upstream::{
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,6 +4,7 @@
 //! thread of its own.
 
 mod admin;
+mod cause;
 mod classes;
 pub mod config;
 mod discovery;
@@ -23,7 +24,8 @@
 mod trail;
 mod upstream;
 
+pub use cause::Cause;
 pub use error::Error;
 pub use host::Host;
-pub use metrics::{Cause, Metrics, Taken};
+pub use metrics::{Metrics, Taken};
 pub use server::{Addresses, Running, serve, spawn};
--- a/crates/proxy/src/trail.rs
+++ b/crates/proxy/src/trail.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 use tracing::info;
 
-use crate::metrics::Cause;
+use crate::cause::Cause;
 
 /// Filled in by the parts that a request passes.
 pub struct Trail {
