check tells every fault of the operators' JSON too

Cause: settings::check returned the first fault as text, so check of a JSON file told one at a time, where that of a TOML file tells all.

Change: settings::faults returns all; check reports them with what the parser says, a reload at SIGHUP turns a file down with all of them. What a process bears at its start stays as it was: it fills in what is missing.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -74,7 +74,7 @@
 }
 
 fn check(check: &Check) -> Result<(), End> {
-    let read = config::read(&check.file);
+    let read = config::check(&check.file);
     if check.json {
         let faults = read.as_ref().err().map(|f| f.faults.as_slice()).unwrap_or_default();
         let told =
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -94,38 +94,43 @@
     }
 }
 
-/// Whether settings say what they have to: a proxy that runs takes nothing from others.
-pub fn check(all: &Value) -> Result<(), String> {
+/// What settings lack or say wrongly; a proxy that runs takes nothing from those with a fault.
+pub fn faults(all: &Value) -> Vec<String> {
     let positive = |value: &Value| value.as_f64().is_some_and(|x| x.is_finite() && x > 0.0);
-    let mut names: Vec<&str> = Vec::new();
+    let (mut names, mut faults): (Vec<&str>, Vec<String>) = Default::default();
     if list(all, "classes").is_empty() {
-        return Err("no classes".into());
+        faults.push("'classes': there are none".into());
     }
-    for class in list(all, "classes") {
+    for (n, class) in list(all, "classes").iter().enumerate() {
         let name = text(class, "name");
-        if name.is_empty() || names.contains(&name) {
-            return Err(format!("a class named '{name}', without a name or twice"));
+        if name.is_empty() {
+            faults.push(format!("class {n} has no name"));
+        } else if names.contains(&name) {
+            faults.push(format!("class '{name}' stands twice"));
         }
         names.push(name);
-        for key in ["deadline", "promise", "worth"] {
-            if !positive(&class[key]) {
-                return Err(format!("class '{name}': {key} is no positive number"));
-            }
+        for key in ["deadline", "promise", "worth"].into_iter().filter(|key| !positive(&class[key])) {
+            faults.push(format!("class '{name}': {key} is no positive number"));
         }
-        let known = match text(class, "effect") {
+        match text(class, "effect") {
+            "idempotent" | "at_most_once" => {}
             "deduplicated" => {
-                matches!(text(class, "dedupScope"), "all" | "zone" | "cell") && positive(&class["window"])
+                if !matches!(text(class, "dedupScope"), "all" | "zone" | "cell") {
+                    faults.push(format!("class '{name}': dedupScope is none of all, zone, cell"));
+                }
+                if !positive(&class["window"]) {
+                    faults.push(format!("class '{name}': window is no positive number"));
+                }
             }
-            effect => matches!(effect, "idempotent" | "at_most_once"),
-        };
-        if !known {
-            return Err(format!("class '{name}': no such effect"));
+            other => faults.push(format!(
+                "class '{name}': effect '{other}' is none of idempotent, deduplicated, at_most_once"
+            )),
         }
     }
     if all["ceilings"]["maxAttempts"].as_u64().is_none_or(|n| n == 0) {
-        return Err("ceilings.maxAttempts is no positive number".into());
+        faults.push("ceilings.maxAttempts is no positive number".into());
     }
-    Ok(())
+    faults
 }
 
 /// Reads the settings; what is missing gets the careful default.
--- a/crates/proxy/src/config/mod.rs
+++ b/crates/proxy/src/config/mod.rs
@@ -179,12 +179,22 @@
     file::parse(text).map_err(|faults| Faults { file: file.to_owned(), faults })
 }
 
+/// Reads a configuration file of either form, and tells all that is wrong with it, also what a process that starts
+/// would bear.
+pub fn check(path: &Path) -> Result<Config, Faults> {
+    let (text, file) = (load(path)?, path.display().to_string());
+    if is_platform(&text) {
+        return platform::check(&text).map_err(|faults| Faults { file, faults });
+    }
+    parse(&text, &file)
+}
+
 /// Reads a file for a process that runs, whose own one is `running`: nothing may be missing or out of place.
 pub fn reread(path: &Path, running: &Origin) -> Result<Config, Faults> {
     let (text, file) = (load(path)?, path.display().to_string());
     match running {
         Origin::Platform(running) => {
-            platform::reparse(&text, running).map_err(|fault| Faults { file, faults: vec![fault] })
+            platform::reparse(&text, running).map_err(|faults| Faults { file, faults })
         }
         Origin::File if is_platform(&text) => {
             Err(Faults::whole(&file, "this is the operators' JSON, and the process runs by a TOML file"))
@@ -294,6 +304,23 @@
         );
     }
 
+    #[test]
+    fn the_operators_json_is_told_all_its_faults_too() {
+        let text = r#"{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":{"classes":[
+            {"name":"a","effect":"idempotent","deadline":0,"promise":1,"worth":1},
+            {"name":"a","effect":"often","deadline":1,"promise":1,"worth":"much"}],"ceilings":{}}}"#;
+        let faults = platform::check(text).expect_err("five faults");
+        let told: Vec<&str> = faults.iter().map(|f| f.message.as_str()).collect();
+        let expected = [
+            "class 'a': deadline is no positive number",
+            "class 'a' stands twice",
+            "class 'a': worth is no positive number",
+            "class 'a': effect 'often' is none of idempotent, deduplicated, at_most_once",
+            "ceilings.maxAttempts is no positive number",
+        ];
+        assert_eq!(told, expected);
+    }
+
     #[test]
     fn any_beginning_of_a_file_is_read_without_a_panic() {
         for cut in (0..EXAMPLE.len()).filter(|cut| EXAMPLE.is_char_boundary(*cut)) {
--- a/crates/proxy/src/config/platform.rs
+++ b/crates/proxy/src/config/platform.rs
@@ -44,11 +44,26 @@
 }
 
 /// Reads the file for a process that runs by `running`: nothing may be missing or out of place.
-pub(super) fn reparse(text: &str, running: &Value) -> Result<Config, Fault> {
-    let raw = serde_json::from_str(text).map_err(|e| fault(&e))?;
-    complete(running, &raw, "").map_err(plain)?;
-    settings::check(&raw["settings"]).map_err(plain)?;
-    parse(text)
+pub(super) fn reparse(text: &str, running: &Value) -> Result<Config, Vec<Fault>> {
+    let raw = serde_json::from_str(text).map_err(|e| vec![fault(&e)])?;
+    complete(running, &raw, "").map_err(|e| vec![plain(e)])?;
+    strict(&raw)?;
+    parse(text).map_err(|e| vec![e])
+}
+
+/// What is wrong with the settings of a file. A process that starts bears more than this: it fills in what is missing.
+fn strict(raw: &Value) -> Result<(), Vec<Fault>> {
+    let faults: Vec<Fault> = settings::faults(&raw["settings"]).into_iter().map(plain).collect();
+    if faults.is_empty() { Ok(()) } else { Err(faults) }
+}
+
+/// All that is wrong with a file that nobody runs by yet.
+pub(super) fn check(text: &str) -> Result<Config, Vec<Fault>> {
+    let raw: Value = serde_json::from_str(text).map_err(|e| vec![fault(&e)])?;
+    match (parse(text), strict(&raw)) {
+        (Ok(config), Ok(())) => Ok(config),
+        (parsed, strict) => Err(parsed.err().into_iter().chain(strict.err().into_iter().flatten()).collect()),
+    }
 }
 
 /// Keys that may come and go.
