Proxy: words that were not true, and work a request did for nothing

Cause: a second reading. check took a log filter that serve turns down; the reload's warning named peers and zone and did not look at them; the help of a histogram and the docs of a counter were wrong; a tenant's name was copied for each request, sampled or not; one bound stood twice.

Change: filters are read by check too, the warning looks at what it names, the copy is made for sampled requests alone, the bound has one place, Taken::restart, which nobody called, is gone.

--- a/crates/cli/src/logging.rs
+++ b/crates/cli/src/logging.rs
@@ -107,7 +107,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use tracing::Callsite as _;
 
     #[test]
     fn a_place_writes_a_burst_a_window_and_tells_what_was_left_out() {
@@ -125,6 +124,5 @@
         assert_eq!(limit.count(Identifier(&TWO), now), (true, 0), "a flood at one place hides no other");
         assert_eq!(limit.count(Identifier(&ONE), now + WINDOW), (true, 30));
         assert_eq!(limit.count(Identifier(&ONE), now + WINDOW), (true, 0), "told once");
-        let _ = ONE.metadata();
     }
 }
--- a/crates/proxy/src/config/check.rs
+++ b/crates/proxy/src/config/check.rs
@@ -155,7 +155,7 @@
 }
 
 /// What is wanted of a value, in words.
-pub(super) fn words(kind: &str) -> &'static str {
+fn words(kind: &str) -> &'static str {
     match kind {
         "array" => "a list",
         "boolean" => "true or false",
--- a/crates/proxy/src/config/file.rs
+++ b/crates/proxy/src/config/file.rs
@@ -12,7 +12,7 @@
 
 use super::fault::{Fault, Text};
 use super::values::{Address, FORMATS, Size, Span};
-use super::{Config, Dialect, Format, HELD, Logging, Origin, PeerAddresses, Plain, Route, Source};
+use super::{Config, Dialect, Format, Logging, Origin, PeerAddresses, Plain, Route, Source, most_held};
 use crate::host::Host;
 
 /// Configuration of leadrelay. One listener and one backend make a working proxy; every other key has a default.
@@ -433,7 +433,7 @@
             cold: self.cold.span.ms().max(1.0),
             fall_multiple: self.cold.multiple,
             fall: self.cold.fall.ms().max(1.0),
-            most_held: self.limits.descriptors * HELD.0 / HELD.1,
+            most_held: most_held(self.limits.descriptors),
             max_attempts: self.limits.attempts,
         };
         let settings = Settings {
--- a/crates/proxy/src/config/mod.rs
+++ b/crates/proxy/src/config/mod.rs
@@ -25,11 +25,15 @@
 /// little before that leaves room to hear of better requests.
 const HELD: (usize, usize) = (5, 16);
 
+fn most_held(sockets: usize) -> usize {
+    sockets * HELD.0 / HELD.1
+}
+
 /// A file that shows every key, as `leadrelay config example` prints it.
 pub const EXAMPLE: &str = include_str!("example.toml");
 
 /// Where proxies exchange datagrams.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct PeerAddresses {
     /// This proxy's.
     pub listen: SocketAddr,
@@ -244,7 +248,7 @@
     fn every_fault_is_told_at_once_and_at_its_place() {
         let text = "lisen = \"127.0.0.1:0\"\n[[backends]]\naddress = \"localhost:1\"\nweight = -1\nzone = 4\n\
             [[classes]]\nname = \"\"\neffect = \"often\"\ndeadline = 5\n[limits]\nmemory = \"much\"\nattempts = 0\n\
-            [logging]\nformat = \"xml\"\naccess = 2\n[admin]\nlisten = 7\n";
+            [logging]\nformat = \"xml\"\naccess = 2\nfilter = \"a=b=c\"\n[admin]\nlisten = 7\n";
         let expected = [
             "f:1:1: 'listen' is missing",
             "f:1:1: unknown key 'lisen', did you mean 'listen'?",
@@ -258,7 +262,8 @@
             "f:12:12: 'attempts' is 0, and has to be 1 or more",
             "f:14:10: 'format' is \"xml\", and has to be \"text\" or \"json\"",
             "f:15:10: 'access' is 2, and has to be 1 or less",
-            "f:17:10: 'listen' has to be text, not a number",
+            "f:16:10: 'a=b=c' is no filter; one is \"info,leadrelay::access=off\"",
+            "f:18:10: 'listen' has to be text, not a number",
         ];
         assert_eq!(faults(text), expected);
     }
--- a/crates/proxy/src/config/platform.rs
+++ b/crates/proxy/src/config/platform.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 
 use super::fault::Fault;
-use super::{Config, Dialect, HELD, Logging, Origin, PeerAddresses, Source};
+use super::{Config, Dialect, Logging, Origin, PeerAddresses, Source, most_held};
 
 /// The file as it stands; unknown keys are passed over.
 #[derive(Deserialize)]
@@ -126,7 +126,7 @@
         _ => None,
     };
     let sockets = file.limits.sockets.unwrap_or(1024).max(64);
-    settings.limits.most_held = sockets * HELD.0 / HELD.1;
+    settings.limits.most_held = most_held(sockets);
     Ok(Config {
         name: file.name,
         listen: file.listen,
--- a/crates/proxy/src/config/values.rs
+++ b/crates/proxy/src/config/values.rs
@@ -13,9 +13,18 @@
     ("address", "127.0.0.1:8080", |text| text.parse::<SocketAddr>().is_ok()),
     ("duration", "250ms", |text| duration(text).is_some()),
     ("size", "64MiB", |text| text.parse::<bytesize::ByteSize>().is_ok()),
-    ("filter", "info,leadrelay::access=off", |text| !text.trim().is_empty()),
+    ("filter", "info,leadrelay::access=off", is_filter),
 ];
 
+/// Levels, or `target=level` pairs, parted by commas.
+fn is_filter(text: &str) -> bool {
+    let level = |text: &str| text.trim().parse::<tracing::level_filters::LevelFilter>().is_ok();
+    text.split(',').all(|part| match part.split_once('=') {
+        Some((target, of)) => !target.trim().is_empty() && level(of),
+        None => level(part),
+    })
+}
+
 /// A span of time as people write it: `250ms`, `1s 500ms`, `2m`.
 fn duration(text: &str) -> Option<Duration> {
     humantime::parse_duration(text).ok().filter(|d| *d <= Duration::from_secs(366 * 24 * 3600))
--- a/crates/proxy/src/frontend.rs
+++ b/crates/proxy/src/frontend.rs
@@ -627,8 +627,11 @@
         let credit = self.access_credit.get() + self.access.get();
         let due = credit >= 1.0;
         self.access_credit.set(if due { credit - 1.0 } else { credit });
-        let tenant = asked.tenant.and_then(|t| self.classes.borrow().tenants.get(t.0).cloned());
-        due.then(|| Rc::new(Trail::new(&asked.id, &asked.lane.name, tenant.as_deref(), came)))
+        due.then(|| {
+            let classes = self.classes.borrow();
+            let tenant = asked.tenant.and_then(|t| classes.tenants.get(t.0));
+            Rc::new(Trail::new(&asked.id, &asked.lane.name, tenant.map(String::as_str), came))
+        })
     }
 
     fn check(&self, request: &Request<Incoming>) -> Result<Asked, Wrong> {
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -93,7 +93,7 @@
     running: Gauge,
     retry_budget: Gauge<f64, AtomicU64>,
     connections: [Gauge<i64, AtomicI64>; 2],
-    /// Files taken and turned down.
+    /// Files taken.
     pub config_reloads: Counter,
     /// Files turned down.
     pub config_reload_errors: Counter,
@@ -115,7 +115,7 @@
         );
         let request_seconds: Family<ByClass, Histogram, fn() -> Histogram> =
             Family::new_with_constructor(times);
-        let help = "Time from a request's last byte to the end of its answer, those left by their clients not included";
+        let help = "Time from when a request was taken to the end of its answer, those left by their clients not included";
         registry.register_with_unit("request", help, Unit::Seconds, request_seconds.clone());
         let by_outcome = Family::<ByOutcome, Counter>::default();
         registry.register("attempts", "Attempts at backends that have ended, by outcome", by_outcome.clone());
@@ -199,11 +199,6 @@
         self.trail = trail;
     }
 
-    /// Its time begins anew, with the last byte of its body.
-    pub fn restart(&mut self, came: Instant) {
-        self.came = came;
-    }
-
     /// Counts its end.
     pub fn end(mut self, cause: Cause) {
         self.count(cause);
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -62,8 +62,9 @@
             _ => return Err("a change between 'backends' and 'discovery' needs a new start".into()),
         }
         if matches!(new.origin, Origin::File) {
-            let fixed = |c: &Config| (c.listen, c.admin, c.sockets, c.memory, c.logging.filter.clone());
-            if fixed(&new) != fixed(&self.running) {
+            let addresses = |c: &Config| (c.listen, c.admin, c.peers.clone());
+            let others = |c: &Config| (c.sockets, c.memory, c.settings.zone, c.logging.filter.clone());
+            if addresses(&new) != addresses(&self.running) || others(&new) != others(&self.running) {
                 warn!("listen, admin, limits, peers, zone and the log's filter change only with a new start");
             }
         }
