--- a/crates/lab/src/ledger.rs
+++ b/crates/lab/src/ledger.rs
@@ -64,8 +64,6 @@
     pub proxy: usize,
     /// The backend of its last attempt.
     pub backend: Option<usize>,
-    /// When it ended, counted from its first try.
-    pub took: f64,
     /// Within its tenant's share.
     pub in_share: bool,
 }
@@ -137,7 +135,9 @@
     pub requests: usize,
     /// Sums.
     pub sums: Sums,
-    /// Broken rules, the first few.
+    /// How many rules were broken, and the first few.
+    pub broken_rules: usize,
+    /// See there.
     pub broken: Vec<Broken>,
 }
 
@@ -239,6 +239,7 @@
             by,
             requests: day.requests.len(),
             sums: self.sums.clone(),
+            broken_rules: self.broken.len(),
             broken: self.broken.iter().take(20).cloned().collect(),
         }
     }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -79,27 +79,32 @@
     #[arg(long, value_enum)]
     baseline: Option<Pick>,
     /// Cut the day to so many seconds
-    #[arg(long)]
+    #[arg(long, value_parser = positive)]
     seconds: Option<f64>,
     /// So many proxies in place of the scenario's
-    #[arg(long)]
-    proxies: Option<usize>,
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=2000))]
+    proxies: Option<u32>,
     /// So many backends in place of the scenario's
-    #[arg(long)]
-    backends: Option<usize>,
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=2000))]
+    backends: Option<u32>,
     /// Results as JSON, one line a day
     #[arg(long)]
     json: bool,
 }
 
+fn positive(text: &str) -> std::result::Result<f64, String> {
+    let number = text.parse::<f64>().ok().filter(|x| x.is_finite() && *x > 0.0);
+    number.ok_or_else(|| "this is no span above 0".into())
+}
+
 /// Reads the scenario with what the flags change of it.
 fn scenario(run: &Run) -> std::result::Result<Scenario, String> {
     let mut scenario = Scenario::read(&run.scenario).map_err(|e| e.to_string())?;
-    if let Some(seconds) = run.seconds.filter(|s| s.is_finite() && *s > 0.0) {
+    if let Some(seconds) = run.seconds {
         scenario.seconds = scenario.seconds.min(seconds);
     }
-    scenario.proxies = run.proxies.map_or(scenario.proxies, |n| n.clamp(1, 2000));
-    scenario.backends = run.backends.map_or(scenario.backends, |n| n.clamp(1, 2000));
+    scenario.proxies = run.proxies.map_or(scenario.proxies, |n| n as usize);
+    scenario.backends = run.backends.map_or(scenario.backends, |n| n as usize);
     Ok(scenario)
 }
 
@@ -204,7 +209,7 @@
         let mean = |f: &dyn Fn(&Result) -> f64| {
             format!("{:.3}", results.iter().map(f).sum::<f64>() / results.len() as f64)
         };
-        let broken: usize = results.iter().map(|r| r.broken.len()).sum();
+        let broken: usize = results.iter().map(|r| r.broken_rules).sum();
         shown.add_row([
             version.name(),
             mean(&|r| r.g),
@@ -227,7 +232,7 @@
         ("served", |r| r.served),
         ("worst 10 s", |r| r.worst_window.0),
         ("worst class", |r| r.worst_class),
-        ("rules broken", |r| r.broken.len() as f64),
+        ("rules broken", |r| r.broken_rules as f64),
     ];
     let mut shown = table(&["figure", "A", "B", "B - A, median", "95%", "B ahead, behind, equal", ""]);
     let mut all = serde_json::Map::new();
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -573,9 +573,8 @@
         if std::mem::replace(&mut self.progress[request].over, true) {
             return;
         }
-        let took = self.now - self.day.requests[request].at;
         let in_share = self.progress[request].in_share;
-        self.ledger.entries.push(Entry { request, end, proxy, backend, took, in_share });
+        self.ledger.entries.push(Entry { request, end, proxy, backend, in_share });
     }
 
     // ---- proxies ----
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -50,6 +50,8 @@
         (&["run", "nowhere.toml"][..], "nowhere.toml: "),
         (&["compare", "core", "no/such/adapter", "headend.toml"], "nor the path of an adapter"),
         (&["run", "headend.toml", "--seeds", "0"], "--seeds"),
+        (&["run", "headend.toml", "--seconds=-1"], "--seconds"),
+        (&["run", "headend.toml", "--proxies", "9999"], "--proxies"),
         (&["play"], "play"),
     ] {
         let run = lab(args);
