A client that left is noticed behind unread bytes, and its request is not sent on

Seen: a client sends a request, a part of its next one behind it (or all of it, or more of a body than is read ahead), and closes or resets. The backend still gets the first request, as late as a slot, a connection or a second attempt comes free: in the new tests "r-left" reached the backend out of the accept queue, and the count of open requests never fell in the module's queue, while a connection came up, between two attempts, without any backend to go to, and with a body that nobody took.

Cause: the leave was told by hyper alone, which drops the request's future when its read meets the end (Frontend::respond, guard Leaves). Hyper reads while a request is open only if its buffer is empty (mid-message end of file), and reads a body only as it is taken. Any byte behind the request keeps the end from being read, for as long as the request waits.

Ruled out: the driver and the attempts. Once Gone is told, the module drops the request and the gate at the first byte stops what is dialling; the same tests without bytes behind passed before.

Change: the frontend asks the system, which tells the end of a connection apart from what lies before it (EPOLLRDHUP, as tokio's READ_CLOSED), without reading: once before the request is handed on, and for as long as its answer is waited for. The connection then ends without an answer, as before.

What can't be seen by anyone: a plain close behind more bytes than the system has room for. A reset is seen there too.

--- a/crates/cli/tests/sockets/mod.rs
+++ b/crates/cli/tests/sockets/mod.rs
@@ -471,6 +471,15 @@
         self.signal("-HUP");
     }
 
+    /// Stops the process where it is, until `go_on`.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+    }
+
+    pub fn go_on(&self) {
+        self.signal("-CONT");
+    }
+
     fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
@@ -571,6 +580,12 @@
         Some((answer.status(), self.is_closed()))
     }
 
+    /// Resets the connection.
+    pub fn reset(self) {
+        let socket = socket2::SockRef::from(self.0.get_ref());
+        socket.set_linger(Some(Duration::ZERO)).expect("a connection");
+    }
+
     /// Ends the sending, as a client that leaves does.
     pub fn leave(&self) {
         self.0.get_ref().shutdown(Shutdown::Write).expect("a connection");
--- a/crates/proxy/src/frontend.rs
+++ b/crates/proxy/src/frontend.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::convert::Infallible;
+use std::fmt;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
@@ -21,7 +21,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use leadrelay_core::RequestId;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
@@ -111,6 +111,7 @@
 
 /// What is known of a connection.
 struct Client {
+    stream: Rc<TcpStream>,
     stage: Cell<Stage>,
     /// Its place among those of its stage, oldest first.
     ticket: Cell<u64>,
@@ -293,6 +294,7 @@
                 }
                 let now = Instant::now();
                 let client = Rc::new(Client {
+                    stream: Rc::new(stream),
                     stage: Cell::new(Stage::Busy),
                     ticket: Cell::new(0),
                     since: Cell::new(now),
@@ -310,7 +312,7 @@
                 self.busy.set(self.busy.get() + 1);
                 self.turn(&client, Stage::Silent);
                 tokio::task::spawn_local(async move {
-                    self.connection(Rc::new(stream), &client).await;
+                    self.connection(&client).await;
                     self.turn(&client, Stage::Busy);
                     self.busy.set(self.busy.get() - 1);
                     self.open.set(self.open.get() - 1);
@@ -380,7 +382,7 @@
         unheard.chain(idle).for_each(|c| c.close.notify_one());
     }
 
-    async fn connection(self: &Rc<Self>, stream: Rc<TcpStream>, client: &Rc<Client>) {
+    async fn connection(self: &Rc<Self>, client: &Rc<Client>) {
         let service = service_fn(|request| {
             let (front, client) = (self.clone(), client.clone());
             async move {
@@ -403,7 +405,10 @@
                     }
                     plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
                 } else {
-                    front.respond(request, came, head, &client).await
+                    front
+                        .respond(request, came, head, &client)
+                        .await
+                        .inspect_err(|Left| client.ended.set(true))?
                 };
                 // Where one request was wrong, nobody knows where the next one would begin.
                 if over || front.draining() || response.status().is_client_error() {
@@ -411,10 +416,10 @@
                 } else if !client.flows.get() {
                     front.turn(&client, Stage::Idle);
                 }
-                Ok::<_, Infallible>(response)
+                Ok::<_, Left>(response)
             }
         });
-        let io = Heard { stream: stream.clone(), client: client.clone(), front: self.clone() };
+        let io = Heard { client: client.clone(), front: self.clone() };
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(None)
@@ -454,7 +459,7 @@
         if !client.ended.get() {
             self.turn(client, Stage::Refused);
             tokio::select! {
-                _ = timeout(LINGER.0, drain(&stream)) => {}
+                _ = timeout(LINGER.0, drain(&client.stream)) => {}
                 () = client.close.notified() => {}
             }
         }
@@ -463,28 +468,28 @@
     /// Answers a request that came at `came`; `raw` is its head as it came, if it could be told apart.
     async fn respond(
         self: &Rc<Self>, request: Request<Incoming>, came: Instant, raw: Option<Vec<u8>>, client: &Rc<Client>,
-    ) -> Response<Written> {
+    ) -> Result<Response<Written>, Left> {
         if self.asks_up(request.uri().path()) {
             let up = self.metrics.ready.load(Relaxed) && !self.draining();
-            return plain(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
+            return Ok(plain(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""));
         }
         let asked = match self.check(&request) {
             Ok(asked) => asked,
-            Err((status, text)) => return plain(status, text),
+            Err((status, text)) => return Ok(plain(status, text)),
         };
         let (head, body) = request.into_parts();
         // Its length lies or hides a second request where both are told: hyper shows only one of them.
         if head.headers.contains_key(header::TRANSFER_ENCODING)
             && raw.is_none_or(|raw| head::tells_length(&raw))
         {
-            return plain(StatusCode::LENGTH_REQUIRED, "the length must be told, and once");
+            return Ok(plain(StatusCode::LENGTH_REQUIRED, "the length must be told, and once"));
         }
         if body.size_hint().lower() > flow::MOST {
-            return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+            return Ok(plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
         }
         let open = OpenId::take(&self.ids, &asked.id);
         if asked.sole && open.is_none() {
-            return plain(StatusCode::CONFLICT, "a request with this id is open");
+            return Ok(plain(StatusCode::CONFLICT, "a request with this id is open"));
         }
         let id = RequestId(self.number());
         let begun = Instant::now();
@@ -500,7 +505,7 @@
                 let flow = RefCell::new(Some(flow));
                 (Load::Flow(Upload { flow, patience: asked.patience, whole }), Some(rest))
             }
-            Err(fault) => return spoilt(fault),
+            Err(fault) => return Ok(spoilt(fault)),
         };
         // A request's time begins with its last byte; one that came whole is as old as its head.
         let came = if begun.elapsed() < AT_ONCE { came } else { Instant::now() };
@@ -517,6 +522,9 @@
         let trail = self.trail(&asked, came);
         taken.follow(trail.clone());
         let Asked { lane, tenant, key, hint, .. } = asked;
+        if client.has_left().await {
+            return Err(Left);
+        }
         self.inbox.put(Input::Request(Box::new(Arrival {
             id,
             class: lane.id,
@@ -531,27 +539,34 @@
             trail,
             open,
         })));
-        // Hyper drops this future when the client leaves.
+        // Dropped when the client leaves, be it by hyper.
         let mut leaves = Leaves { inbox: &self.inbox, id, waits: true };
-        let answer = match rest {
-            None => answered.await,
-            Some(rest) => {
-                tokio::pin!(rest, answered);
-                tokio::select! {
-                    biased;
-                    answer = answered.as_mut() => answer,
-                    sent = rest => match sent {
-                        Ok(()) => answered.await,
-                        Err(fault) => {
-                            taken.end(Cause::BodyBroken);
-                            return spoilt(fault);
-                        }
-                    },
-                }
+        let waits = async {
+            let Some(rest) = rest else { return Ok(answered.await) };
+            tokio::pin!(rest, answered);
+            tokio::select! {
+                biased;
+                answer = answered.as_mut() => Ok(answer),
+                sent = rest => match sent {
+                    Ok(()) => Ok(answered.await),
+                    Err(fault) => Err(fault),
+                },
+            }
+        };
+        let answer = tokio::select! {
+            biased;
+            answer = waits => answer,
+            () = client.left() => return Err(Left),
+        };
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(fault) => {
+                taken.end(Cause::BodyBroken);
+                return Ok(spoilt(fault));
             }
         };
         leaves.waits = false;
-        match answer {
+        Ok(match answer {
             Ok(Answer::Served(reply)) => {
                 let body = match reply.body {
                     Either::Left(body) => {
@@ -584,7 +599,7 @@
                 taken.end(Cause::Failed);
                 plain(StatusCode::BAD_GATEWAY, "failed")
             }
-        }
+        })
     }
 
     /// Reads a body as far as it is held back before its request is handed on.
@@ -659,9 +674,39 @@
     Begun { read: Bytes, held: Option<flow::Held>, body: Incoming, pace: Pace },
 }
 
+/// The client has left while its request waited.
+#[derive(Debug)]
+struct Left;
+
+impl fmt::Display for Left {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("the client has left")
+    }
+}
+
+impl std::error::Error for Left {}
+
+impl Client {
+    /// Returns once the client has closed the connection or it has been reset. Hyper looks for that by reading, and
+    /// so not while bytes behind the request or a body that nobody takes lie before the end; the system tells it
+    /// apart from them. Any interest is told of the end, and this one of nothing else that happens here.
+    async fn left(&self) {
+        while self.stream.ready(Interest::PRIORITY).await.is_ok_and(|ready| !ready.is_read_closed()) {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    async fn has_left(&self) -> bool {
+        tokio::select! {
+            biased;
+            () = self.left() => true,
+            () = std::future::ready(()) => false,
+        }
+    }
+}
+
 /// A client's socket. It notes when a request begins, and when the client has ended its sending.
 struct Heard {
-    stream: Rc<TcpStream>,
     client: Rc<Client>,
     front: Rc<Frontend>,
 }
@@ -669,7 +714,7 @@
 impl AsyncRead for Heard {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        std::task::ready!(poll_read(&self.stream, cx, buf))?;
+        std::task::ready!(poll_read(&self.client.stream, cx, buf))?;
         if buf.filled().len() == before {
             self.client.ended.set(true);
         }
@@ -693,7 +738,7 @@
 
 impl AsyncWrite for Heard {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        let n = std::task::ready!(poll_write(&self.stream, cx, bytes))?;
+        let n = std::task::ready!(poll_write(&self.client.stream, cx, bytes))?;
         if self.client.flows.get() {
             self.client.took.set(Instant::now());
         }
@@ -705,7 +750,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
-        Poll::Ready(end_sending(&self.stream))
+        Poll::Ready(end_sending(&self.client.stream))
     }
 }
 
