At SIGTERM everyone taken has an answer before SIGKILL can come, half-read heads too

Seen: with a backend that hangs at SIGTERM and deadlines of 60 s the process still waits after 49 s (the operators kill it 3.7 s after SIGTERM at the earliest), and with deadlines of 1 s it ends after 1.93 s instead of before 1.7 s. A client that had sent half of its head at SIGTERM and the rest 1 s later was reset instead of answered.

Cause: Frontend::serve counted the longest deadline, without a bound, from the moment the accept queue had been seen to (0.7 to 1.2 s after SIGTERM), not from SIGTERM; the operators count 3 s of it at most. What was still open then got no answer: the process just ended. And it waited for open requests (`busy`) alone, not for connections of which a part of a head had come (Stage::Begun).

Change: the end is reckoned from SIGTERM, the longest deadline up to 3 s and 0.55 s, and told to the driver. It answers by then whatever is open: refused if nothing was ever sent, else failed; requests that still come have no longer than that. The frontend waits for half-read heads as well, and closes connections that turn idle meanwhile.

--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -96,6 +96,7 @@
 enum Due {
     Module(u64),
     LastResort(RequestId),
+    End,
 }
 
 /// What the driver needs of the other parts.
@@ -138,6 +139,8 @@
     twin: bool,
     /// When discovery last said something.
     told: Instant,
+    /// By when every request has its answer, as the process ends.
+    end: Option<Instant>,
 }
 
 impl Driver {
@@ -157,6 +160,7 @@
             remembers: false,
             twin: false,
             told: Instant::now(),
+            end: None,
         }
     }
 
@@ -183,6 +187,7 @@
                 match due {
                     Due::Module(token) => self.handle(Event::Timer(token)),
                     Due::LastResort(id) => self.last_resort(id),
+                    Due::End => self.end(),
                 }
             }
             if now >= gauge {
@@ -353,6 +358,10 @@
                 self.parts.upstreams.retune(&connections);
                 self.handle(Event::Retune(Box::new(retuning)));
             }
+            Input::Ending(end) => {
+                self.end = Some(end);
+                self.due.push(Reverse((end, Due::End)));
+            }
             Input::Leaving => self.handle(Event::Leaving(true)),
             Input::Uploaded(id) => self.uploaded(id),
             Input::Ended { request, attempt, latency, outcome, reply } => {
@@ -369,6 +378,7 @@
     fn request(&mut self, arrival: Arrival) {
         let Arrival { id, class, hold, tenant, key, hint, deadline, upload, message, answer, trail, open } =
             arrival;
+        let deadline = self.ends_by(deadline);
         let last = deadline - LAST_RESORT;
         let now = Instant::now();
         let budget = upload.unwrap_or(last.saturating_duration_since(now)).as_secs_f64() * 1000.0;
@@ -402,20 +412,35 @@
         let now = Instant::now();
         let Some(live) = self.live.get_mut(&id) else { return };
         let Some(patience) = live.upload.take() else { return };
+        let deadline = self.end.map_or(now + patience, |end| end.min(now + patience));
         live.sent.set(now);
-        live.deadline = now + patience;
+        live.deadline = deadline;
         self.due.push(Reverse((live.deadline - LAST_RESORT, Due::LastResort(id))));
         self.handle(Event::Upload { request: id, stage: Upload::Whole });
     }
 
-    /// Answers a request that nobody else has answered in time. It may have run, so it has failed.
+    /// When a request has to be answered whose client waits so long.
+    fn ends_by(&self, deadline: Instant) -> Instant {
+        self.end.map_or(deadline, |end| end.min(deadline))
+    }
+
+    /// Answers a request that nobody else has answered in time. If it has been sent, it may have run and has failed.
     fn last_resort(&mut self, id: RequestId) {
+        let sent = self.live.get(&id).is_some_and(|live| live.attempts > 0);
         if let Some(answer) = self.close(id) {
-            let _ = answer.send(Answer::Failed); // a client that has left needs none
+            let last = if sent { Answer::Failed } else { Answer::Refused { after: None, tried: false } };
+            let _ = answer.send(last); // a client that has left needs none
             self.handle(Event::Abandoned(id));
         }
     }
 
+    /// Answers all that are open, as the process can't wait for them.
+    fn end(&mut self) {
+        let open = self.live.iter().filter(|(_, live)| live.answer.is_some());
+        let open: Vec<RequestId> = open.map(|(id, _)| *id).collect();
+        open.into_iter().for_each(|id| self.last_resort(id));
+    }
+
     fn ended(
         &mut self, request: RequestId, attempt: u32, latency: Millis, outcome: Outcome, reply: Option<Reply>,
     ) {
--- a/crates/proxy/src/frontend.rs
+++ b/crates/proxy/src/frontend.rs
@@ -79,8 +79,12 @@
 const SILENT: Duration = Duration::from_millis(200);
 /// With a successor, connections are used for this long after SIGTERM before those that are idle are closed.
 const LAST_USE: Duration = Duration::from_millis(450);
-/// What the last answers may take to go out, after the longest deadline.
-const FINISH: Duration = Duration::from_millis(200);
+/// SIGKILL comes no sooner after SIGTERM than the longest deadline, of which so much counts, and `KILL`.
+const COUNTED: Duration = Duration::from_secs(3);
+const KILL: Duration = Duration::from_millis(700);
+/// So long before that all have their answer, and what these may take to go out.
+const MARGIN: Duration = Duration::from_millis(150);
+const FINISH: Duration = Duration::from_millis(100);
 /// A connection asked to close that neither reads nor writes for this span is cut.
 const CUT: Duration = Duration::from_secs(1);
 /// Wait after a failed accept, lest it spin.
@@ -215,6 +219,9 @@
             }
         }
         self.stopping.set(true);
+        let longest = Duration::from_secs_f64(self.classes.borrow().longest().clamp(0.0, 1e9) / 1000.0);
+        let end = Instant::now() + longest.min(COUNTED) + KILL - MARGIN;
+        self.inbox.put(Input::Ending(end));
         if self.budget.handover.as_ref().is_some_and(|h| h.leave()) {
             // The successor takes who comes. Those who are here leave with their next answer, if one comes soon:
             // a connection closed before could cross a request.
@@ -226,13 +233,13 @@
             self.inbox.put(Input::Leaving);
             self.accept_last(listener).await;
         }
-        let longest = self.classes.borrow().longest();
-        let end = Instant::now() + Duration::from_secs_f64(longest.min(1e6) / 1000.0) + FINISH;
-        while self.busy.get() > 0 {
-            if timeout_at(end, self.left.notified()).await.is_err() {
+        // A request of which a part has come is taken with its last byte: it is waited for too.
+        while self.busy.get() > 0 || !self.standing.borrow()[Stage::Begun as usize].is_empty() {
+            if timeout_at(end + FINISH, self.left.notified()).await.is_err() {
                 warn!(open = self.busy.get(), "ended with requests open");
                 return;
             }
+            self.close_all(Stage::Idle); // whose answer has just gone out
         }
     }
 
@@ -343,6 +350,9 @@
             Some(new) => drop(new.insert(client.ticket.get(), client.clone())),
             None => self.busy.set(self.busy.get() + 1),
         }
+        if self.stopping.get() {
+            self.left.notify_waiters();
+        }
     }
 
     fn number(&self) -> u64 {
--- a/crates/proxy/src/inbox.rs
+++ b/crates/proxy/src/inbox.rs
@@ -22,6 +22,8 @@
     Gone(RequestId),
     /// The process ends, and no other takes its clients.
     Leaving,
+    /// The process ends: by then every request has its answer.
+    Ending(Instant),
     /// Other settings.
     Retune(Box<(Retuning, Connections)>),
     /// The last byte of a body that is sent on while it comes has been taken.
