A half-read request that is waited for no longer gets an answer instead of a bare close

Seen: a client that had sent half of its head and was closed, as its time was up or others needed the place, read the end of the connection and no answer.

Cause: Frontend::connection dropped the socket where the stage was Begun.

Ruled out: bodies. Where the head is whole, hyper has called the service, and the answer 408 goes out.

Change: such a connection gets 408 if its time is up, else 503 (nothing was sent on), and is read on for a while like every other that is turned away, so that the answer arrives. A connection of which nothing has come is closed as before.

--- a/crates/cli/tests/shutdown.rs
+++ b/crates/cli/tests/shutdown.rs
@@ -68,3 +68,30 @@
     assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
     assert!(proxy.wait().success());
 }
+
+#[test]
+fn a_head_that_gives_way_to_others_is_answered() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let proxy = Proxy::up(&discovery, &Setup { sockets: 64, ..Setup::default() });
+    let half = |_| {
+        let mut client = Client::new(&proxy);
+        client.send("GET /page HTTP/1.1\r\nHost");
+        client
+    };
+    let mut stuck: Vec<Client> = (0..40).map(half).collect();
+    // Its rest may be on the way when it is asked to go: it is owed an answer, and knows that nothing was done.
+    assert_eq!(stuck[0].last_answer(), Some((503, true)));
+}
+
+#[test]
+fn a_head_that_never_becomes_whole_is_answered() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let proxy = Proxy::up(&discovery, &Setup::default());
+    let mut client = Client::new(&proxy);
+    client.send("GET /page HTTP/1.1\r\nHost");
+    assert_eq!(client.last_answer(), Some((408, true)));
+}
--- a/crates/proxy/src/frontend.rs
+++ b/crates/proxy/src/frontend.rs
@@ -443,8 +443,14 @@
                 biased; // what has come in counts before a wish to close
                 _ = connection.as_mut() => break,
                 () = client.close.notified() => {
-                    if matches!(client.stage.get(), Stage::Silent | Stage::Begun) {
-                        return;
+                    match client.stage.get() {
+                        Stage::Silent => return,
+                        // Its last byte may have been written, and then an answer is owed.
+                        Stage::Begun => {
+                            cut_short(&client.stream, client.due.get() <= Instant::now());
+                            break;
+                        }
+                        Stage::Refused | Stage::Idle | Stage::Busy => {}
                     }
                     connection.as_mut().graceful_shutdown();
                     cut = cut.or(Some(Instant::now() + CUT));
@@ -764,6 +770,14 @@
     }
 }
 
+/// Answers a request that is not whole and is waited for no longer, as far as the client takes it at once. It has gone
+/// nowhere.
+fn cut_short(stream: &TcpStream, late: bool) {
+    let status = if late { StatusCode::REQUEST_TIMEOUT } else { StatusCode::SERVICE_UNAVAILABLE };
+    let answer = format!("HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    let _ = stream.try_write(answer.as_bytes()); // a client that has gone needs none
+}
+
 /// Ends the sending and reads on until the client ends its own, within bounds.
 async fn drain(stream: &TcpStream) {
     if end_sending(stream).is_err() {
