Nothing more of a half-written request goes to a backend once its client has left

Seen: a request of 30 MB is in the middle of being written to a backend that reads slowly when its client leaves (or its time is over); all 31,457,345 bytes reach the backend, which then runs it for nobody.

Cause: Meter::admit looked at the request only before its first byte (`begun`), so whatever had begun was written to its end. A backend begins a request with its last byte: one that is cut before never runs.

Ruled out: bodies that flow. Their source ends with the client and breaks the request off by itself.

Change: an attempt is told what became of its request: wanted, answered, or left. A request whose client has left is denied its next byte until it is whole; one that has its answer is written on, as a connection cut there would break an early answer. What is denied on the way counts as moot and not against the backend.

Drains still count from the first byte of a send.

--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -30,7 +30,7 @@
 use crate::peers::Peers;
 use crate::tally::Tally;
 use crate::trail::Trail;
-use crate::upstream::{Endpoint, Outgoing, Reply, Upstreams};
+use crate::upstream::{Endpoint, Outgoing, Reply, Upstreams, Wish};
 
 /// What the client is told has to be on its way this long before the client gives up, whatever happens.
 const LAST_RESORT: Duration = Duration::from_millis(4);
@@ -73,8 +73,8 @@
 /// A request that lacks its answer or has attempts out.
 struct Live {
     answer: Option<oneshot::Sender<Answer>>,
-    /// Whether an attempt may still begin for it.
-    wanted: Rc<Cell<bool>>,
+    /// Whether an attempt may still begin for it, or go on.
+    wish: Rc<Cell<Wish>>,
     message: Rc<Outgoing>,
     deadline: Instant,
     /// How long its client waits after the last byte, where that is still to come.
@@ -349,7 +349,7 @@
         match input {
             Input::Request(arrival) => self.request(*arrival),
             Input::Gone(id) => {
-                if self.close(id).is_some() {
+                if self.close(id, Wish::Left).is_some() {
                     self.handle(Event::Abandoned(id));
                 }
             }
@@ -386,7 +386,7 @@
             id,
             Live {
                 answer: Some(answer),
-                wanted: Rc::new(Cell::new(true)),
+                wish: Rc::new(Cell::new(Wish::Wanted)),
                 message: Rc::new(message),
                 deadline,
                 upload,
@@ -427,7 +427,7 @@
     /// Answers a request that nobody else has answered in time. If it has been sent, it may have run and has failed.
     fn last_resort(&mut self, id: RequestId) {
         let sent = self.live.get(&id).is_some_and(|live| live.attempts > 0);
-        if let Some(answer) = self.close(id) {
+        if let Some(answer) = self.close(id, Wish::Left) {
             let last = if sent { Answer::Failed } else { Answer::Refused { after: None, tried: false } };
             let _ = answer.send(last); // a client that has left needs none
             self.handle(Event::Abandoned(id));
@@ -452,7 +452,7 @@
         let was_open = live.answer.is_some();
         match (outcome, reply) {
             (Outcome::Served, Some(reply)) => {
-                if let Some(answer) = self.close(request) {
+                if let Some(answer) = self.close(request, Wish::Answered) {
                     let _ = answer.send(Answer::Served(reply)); // else the client has just left
                 }
             }
@@ -472,9 +472,9 @@
     }
 
     /// Takes the right to answer a request; from here on nothing more begins for it.
-    fn close(&mut self, id: RequestId) -> Option<oneshot::Sender<Answer>> {
+    fn close(&mut self, id: RequestId, to: Wish) -> Option<oneshot::Sender<Answer>> {
         let live = self.live.get_mut(&id)?;
-        live.wanted.set(false);
+        live.wish.set(to);
         let answer = live.answer.take();
         self.forget(id);
         answer
@@ -578,7 +578,7 @@
             Action::Refuse { request, retry_after } => {
                 let tried = self.live.get(&request).is_some_and(|l| l.attempts > 0);
                 let error = self.error(request);
-                if let Some(answer) = self.close(request) {
+                if let Some(answer) = self.close(request, Wish::Answered) {
                     self.tally.refused[usize::from(tried)] += 1;
                     let refused = Answer::Refused { after: retry_after, tried };
                     let _ = answer.send(error.map_or(refused, Answer::Passed));
@@ -586,7 +586,7 @@
             }
             Action::Fail(request) => {
                 let error = self.error(request);
-                if let Some(answer) = self.close(request) {
+                if let Some(answer) = self.close(request, Wish::Answered) {
                     self.tally.failed += 1;
                     let _ = answer.send(error.map_or(Answer::Failed, Answer::Passed));
                 }
@@ -634,17 +634,19 @@
         }
         live.out += 1;
         self.tally.sends += 1;
-        let Some(endpoint) = self.endpoints.get(&backend).filter(|e| live.wanted.get() && e.is_open()) else {
+        let Some(endpoint) =
+            self.endpoints.get(&backend).filter(|e| live.wish.get() == Wish::Wanted && e.is_open())
+        else {
             return report.tell(Outcome::Moot, None);
         };
         let until = timeout.map_or(live.deadline, |t| {
             live.deadline.min(now + Duration::from_secs_f64(t.clamp(0.0, 1e9) / 1000.0))
         });
         let (upstreams, endpoint) = (self.parts.upstreams.clone(), endpoint.clone());
-        let (wanted, message) = (live.wanted.clone(), live.message.clone());
+        let (wish, message) = (live.wish.clone(), live.message.clone());
         tokio::task::spawn_local(async move {
             upstreams
-                .attempt(endpoint, wanted, message, until, |outcome, reply| report.tell(outcome, reply))
+                .attempt(endpoint, wish, message, until, |outcome, reply| report.tell(outcome, reply))
                 .await;
         });
     }
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -186,11 +186,22 @@
     read: Notify,
 }
 
+/// What becomes of a request while its attempts are out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Wish {
+    /// It lacks its answer.
+    Wanted,
+    /// It has its answer.
+    Answered,
+    /// Its client has left or waits no longer.
+    Left,
+}
+
 /// The backend must still take work and the request still lack its answer: either may have changed while the
 /// connection came up.
 struct Gate {
     endpoint: Rc<Endpoint>,
-    wanted: Rc<Cell<bool>>,
+    wish: Rc<Cell<Wish>>,
 }
 
 const BLANK: &[u8] = b"\r\n\r\n";
@@ -242,10 +253,14 @@
         }
     }
 
-    /// Whether a write may go on.
+    /// Whether a write may go on. A request that is not whole never runs, so one whose client has left ends there; what
+    /// has its answer is written to its end, or the answer might break.
     fn admit(&self) -> bool {
-        let fits = |g: &Gate| g.endpoint.is_open() && g.wanted.get();
-        let go = self.begun.get() || self.gate.borrow().as_ref().is_some_and(fits);
+        let gate = self.gate.borrow();
+        let go = match self.begun.get() {
+            false => gate.as_ref().is_some_and(|g| g.endpoint.is_open() && g.wish.get() == Wish::Wanted),
+            true => self.complete() || gate.as_ref().is_none_or(|g| g.wish.get() != Wish::Left),
+        };
         self.denied.set(!go);
         go
     }
@@ -477,7 +492,7 @@
 
     /// Makes one attempt and tells how it ended; `report` gets that before the connection is pooled.
     pub async fn attempt(
-        &self, endpoint: Rc<Endpoint>, wanted: Rc<Cell<bool>>, message: Rc<Outgoing>, until: Instant,
+        &self, endpoint: Rc<Endpoint>, wish: Rc<Cell<Wish>>, message: Rc<Outgoing>, until: Instant,
         report: impl FnOnce(Outcome, Option<Reply>),
     ) {
         // Whatever goes wrong before the request's last byte is written proves that it never ran.
@@ -485,14 +500,14 @@
             Ok(Ok(connection)) => connection,
             Ok(Err(_)) | Err(_) => return report(Outcome::ConnectFailed, None),
         };
-        if !endpoint.is_open() || !wanted.get() {
+        if !endpoint.is_open() || wish.get() != Wish::Wanted {
             return report(Outcome::Moot, None);
         }
         let meter = connection.meter.clone();
         let Some((request, length)) = message.request(until, &meter) else {
             return report(Outcome::Moot, None);
         };
-        meter.start(Gate { endpoint: endpoint.clone(), wanted }, length);
+        meter.start(Gate { endpoint: endpoint.clone(), wish }, length);
         let answer = async {
             tokio::select! {
                 biased;
@@ -535,7 +550,7 @@
                     endpoint.idle.borrow_mut().push(Idle { connection, since: Instant::now() });
                 }
             }
-            Ok(Err(_)) if meter.denied.get() && !meter.begun.get() || meter.spoilt.get() => {
+            Ok(Err(_)) if meter.denied.get() || meter.spoilt.get() => {
                 report(Outcome::Moot, None);
             }
             Ok(Err(_)) | Err(_) if !meter.complete() => report(Outcome::ConnectFailed, None),
@@ -706,14 +721,18 @@
 
 #[cfg(test)]
 mod tests {
+    use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+    use tokio::net::TcpListener;
+
     use super::*;
+    use crate::flow::Pool;
 
-    fn started(body: usize) -> (Meter, Rc<Endpoint>, Rc<Cell<bool>>) {
+    fn started(body: usize) -> (Meter, Rc<Endpoint>, Rc<Cell<Wish>>) {
         let endpoint = Endpoint::new("127.0.0.1:1".parse().expect("an address"), 0.0);
-        let wanted = Rc::new(Cell::new(true));
+        let wish = Rc::new(Cell::new(Wish::Wanted));
         let meter = Meter::default();
-        meter.start(Gate { endpoint: endpoint.clone(), wanted: wanted.clone() }, body);
-        (meter, endpoint, wanted)
+        meter.start(Gate { endpoint: endpoint.clone(), wish: wish.clone() }, body);
+        (meter, endpoint, wish)
     }
 
     #[test]
@@ -733,9 +752,11 @@
         let (meter, endpoint, _) = started(0);
         endpoint.set_open(false);
         assert!(!meter.admit() && meter.denied.get());
-        let (meter, _, wanted) = started(0);
-        wanted.set(false);
-        assert!(!meter.admit());
+        for wish in [Wish::Answered, Wish::Left] {
+            let (meter, _, wished) = started(0);
+            wished.set(wish);
+            assert!(!meter.admit());
+        }
         let (meter, endpoint, _) = started(0);
         assert!(meter.admit());
         meter.wrote(b"G");
@@ -756,4 +777,61 @@
         assert_eq!(headers.len(), 1);
         assert!(headers.contains_key("x-kept"));
     }
+
+    fn upstreams(sockets: usize) -> Rc<Upstreams> {
+        let connections = Connections { dial_timeout: 600_000.0, idle_close: 600_000.0 };
+        let memory = Memory { pieces: Pool::new(1 << 20), ahead: Pool::new(1 << 20) };
+        Rc::new(Upstreams::new(&connections, sockets, false, Arc::default(), memory))
+    }
+
+    /// Makes an attempt at the listener's address; tells how it ended.
+    fn attempted(
+        upstreams: &Rc<Upstreams>, listener: &TcpListener, body: Bytes, wish: &Rc<Cell<Wish>>,
+    ) -> JoinHandle<Option<Outcome>> {
+        let (upstreams, wish) = (upstreams.clone(), wish.clone());
+        let endpoint = Endpoint::new(listener.local_addr().expect("its own"), 0.0);
+        upstreams.add(&endpoint);
+        let (method, uri, headers) = (Method::POST, Uri::from_static("/x"), HeaderMap::new());
+        let body = Load::Whole { body, _held: None };
+        let message = Rc::new(Outgoing { method, uri, headers, body });
+        tokio::task::spawn_local(async move {
+            let (mut ended, until) = (None, Instant::now() + Duration::from_secs(60));
+            upstreams.attempt(endpoint, wish, message, until, |outcome, _| ended = Some(outcome)).await;
+            ended
+        })
+    }
+
+    fn played(play: impl Future<Output = ()>) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let all = async { timeout(Duration::from_secs(30), play).await.expect("it ends in time") };
+        tokio::task::LocalSet::new().block_on(&runtime, all);
+    }
+
+    #[test]
+    fn the_rest_of_a_half_written_request_is_kept_from_a_backend_once_its_client_has_left() {
+        for (to, whole) in [(Wish::Left, false), (Wish::Answered, true)] {
+            played(async move {
+                let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+                let wish = Rc::new(Cell::new(Wish::Wanted));
+                let size = 30 << 20; // more than the system takes
+                let attempt = attempted(&upstreams(1), &listener, vec![0; size].into(), &wish);
+                let (mut backend, _) = listener.accept().await.expect("the attempt");
+                let mut buffer = vec![0; 1 << 16];
+                let mut read = backend.read(&mut buffer).await.expect("the head");
+                wish.set(to);
+                let answered = async {
+                    while read < size {
+                        match backend.read(&mut buffer).await {
+                            Ok(n) if n > 0 => read += n,
+                            _ => return false,
+                        }
+                    }
+                    backend.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.is_ok()
+                };
+                assert_eq!(answered.await, whole, "{to:?}: {read} bytes");
+                let outcome = if whole { Outcome::Served } else { Outcome::Moot };
+                assert_eq!(attempt.await.expect("no panic"), Some(outcome));
+            });
+        }
+    }
 }
