An attempt that waits for a socket gets the next one that comes free

Seen: with all sockets for backends in use, an attempt at a backend without a connection waits until its dial times out, while the answers that come meanwhile leave their connections idle in their pools.

Cause: Upstreams::open closes one idle connection if there is one at that moment, then waits for a permit; permits come back only as connections end, and Upstreams::attempt pooled every connection that could be kept.

Ruled out: the order of waiting. The semaphore is fair; nobody gave anything back.

Change: while somebody waits for a socket, a connection whose answer is done is closed instead of pooled.

--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -367,6 +367,8 @@
     idle_limit: Cell<Duration>,
     sockets: Arc<Semaphore>,
     most: usize,
+    /// Attempts that wait for a socket.
+    waiting: Cell<usize>,
     /// Asked to close an idle connection when the budget has run out.
     endpoints: RefCell<Vec<Rc<Endpoint>>>,
 }
@@ -384,6 +386,7 @@
             idle_limit: Cell::new(idle_limit),
             sockets: Arc::new(Semaphore::new(sockets)),
             most: sockets,
+            waiting: Cell::new(0),
             endpoints: RefCell::default(),
         }
     }
@@ -439,7 +442,9 @@
         if self.sockets.available_permits() == 0 {
             self.close_idle();
         }
+        let waits = Counted::new(&self.waiting);
         let permit = self.sockets.clone().acquire_owned().await.map_err(io::Error::other)?;
+        drop(waits);
         self.metrics.dials.inc();
         let stream = Rc::new(TcpStream::connect(address).await?);
         stream.set_nodelay(true)?;
@@ -546,7 +551,8 @@
                 };
                 meter.gate.replace(None);
                 let ready = keep && matches!(timeout(READY, connection.sender.ready()).await, Ok(Ok(())));
-                if ready && endpoint.is_open() {
+                // One that waits for a socket would wait on while connections stand idle elsewhere.
+                if ready && endpoint.is_open() && self.waiting.get() == 0 {
                     endpoint.idle.borrow_mut().push(Idle { connection, since: Instant::now() });
                 }
             }
@@ -563,6 +569,22 @@
     }
 }
 
+/// Counts itself for as long as it lives.
+struct Counted<'a>(&'a Cell<usize>);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Counted(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// What has been read of an answer's body when it is passed on.
 enum Answered {
     Whole(Bytes),
@@ -807,6 +829,28 @@
         tokio::task::LocalSet::new().block_on(&runtime, all);
     }
 
+    #[test]
+    fn who_waits_for_a_socket_gets_the_next_that_comes_free() {
+        played(async {
+            let upstreams = upstreams(1);
+            let one = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let two = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let wish = Rc::new(Cell::new(Wish::Wanted));
+            let first = attempted(&upstreams, &one, Bytes::new(), &wish);
+            let (mut held, _) = one.accept().await.expect("the first");
+            let second = attempted(&upstreams, &two, Bytes::new(), &wish);
+            while upstreams.waiting.get() == 0 {
+                tokio::task::yield_now().await;
+            }
+            let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            held.write_all(answer).await.expect("it reads");
+            assert_eq!(first.await.expect("no panic"), Some(Outcome::Served));
+            let (mut next, _) = two.accept().await.expect("the second");
+            next.write_all(answer).await.expect("it reads");
+            assert_eq!(second.await.expect("no panic"), Some(Outcome::Served));
+        });
+    }
+
     #[test]
     fn the_rest_of_a_half_written_request_is_kept_from_a_backend_once_its_client_has_left() {
         for (to, whole) in [(Wish::Left, false), (Wish::Answered, true)] {
