The demo hears a Ctrl-C that comes while it shows its view

Seen: one run of the tests never ended; `leadrelay demo` had got SIGINT right after its first line and went on for twenty minutes, its mask of caught signals holding SIGINT.

Cause: demo::watch asked for Ctrl-C anew in each turn of its loop. A signal that came between two turns, while the line was being written, found no listener, and the handler had taken the default's place.

Ruled out: the proxy's end; its thread had not been told.

Change: one listener for the whole loop.

--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -83,10 +83,13 @@
     let end = options.seconds.map(|s| start + Duration::from_secs(s));
     let mut view = View::new(terminal, options.json, backends);
     let mut before = Shown::look(proxy, backends, load);
+    // One listener for the whole time: a Ctrl-C that comes while a view is shown would else go to nobody.
+    let interrupt = tokio::signal::ctrl_c();
+    tokio::pin!(interrupt);
     loop {
         let next = (Instant::now() + step).min(end.unwrap_or(start + Duration::from_secs(86_400)));
         tokio::select! {
-            _ = tokio::signal::ctrl_c() => break,
+            _ = &mut interrupt => break,
             () = tokio::time::sleep_until(next) => {}
         }
         let now = Shown::look(proxy, backends, load);
