--- a/crates/proxy/src/config/file.rs
+++ b/crates/proxy/src/config/file.rs
@@ -203,7 +203,8 @@
 struct Timeouts {
     /// A connection to a backend that is not up within this span has failed.
     connect: Span,
-    /// Backends close a connection that has been idle for this span; it is not used for longer.
+    /// Backends close a connection that has been idle for this span; it is not used for longer, and
+    /// kept for less while backends turn new connections away.
     idle: Span,
 }
 
