--- a/regression.sh
+++ b/regression.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Plays the operating days, the standing and the brink days of all customers' sites, then each earlier set, with the operators' kit beside the repository. Ends with 1 if a gate
-# failed, a rule was broken or a proxy crashed. The figures are for whoever reads them.
+# Plays the operating days, the standing and the brink days of all customers' sites, then each earlier set, with the
+# operators' kit beside the repository. Ends with 1 if a gate failed, a rule was broken or a proxy crashed. The figures are
+# for whoever reads them.
 set -uo pipefail
 cd "$(dirname "$0")"
 kit=../given/kit
