--- a/crates/cli/tests/leaving.rs
+++ b/crates/cli/tests/leaving.rs
@@ -59,6 +59,18 @@
     })
 }
 
+/// Twelve clients of requests that the backend holds: more than it has slots, so that what follows waits.
+fn filled(proxy: &Proxy) -> Vec<Client> {
+    let client = |n| {
+        let mut client = Client::new(proxy);
+        client.send(&submit(&format!("r-held-{n}"), "60", "x"));
+        client
+    };
+    let held = (0..12).map(client).collect();
+    pending(proxy, 12);
+    held
+}
+
 fn ids(backend: &Backend) -> Vec<String> {
     backend.seen().iter().map(|m| m.id().to_owned()).collect()
 }
@@ -87,12 +99,7 @@
         let gate = Gate::default();
         let backend = holding(&gate, "r-held");
         let (_discovery, proxy) = proxy_with(&[host("s-0", backend.address, "up", 0)]);
-        // More than the backend has slots, so that what follows waits.
-        let mut held: Vec<Client> = (0..12).map(|_| Client::new(&proxy)).collect();
-        for (n, client) in held.iter_mut().enumerate() {
-            client.send(&submit(&format!("r-held-{n}"), "60", "x"));
-        }
-        pending(&proxy, 12);
+        let mut held = filled(&proxy);
         assert!(backend.seen().len() < 12, "the proxy queues");
         let mut client = Client::new(&proxy);
         client.send(&patient(&page("r-left")));
@@ -157,11 +164,7 @@
         let gate = Gate::default();
         let backend = holding(&gate, "r-held");
         let (_discovery, proxy) = proxy_with(&[host("s-0", backend.address, "up", 0)]);
-        let mut held: Vec<Client> = (0..12).map(|_| Client::new(&proxy)).collect();
-        for (n, client) in held.iter_mut().enumerate() {
-            client.send(&submit(&format!("r-held-{n}"), "60", "x"));
-        }
-        pending(&proxy, 12);
+        let mut held = filled(&proxy);
         let mut client = Client::new(&proxy);
         let head = submit("r-left", "60", "").replace("Length: 0", "Length: 9000000");
         client.send(&head);
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -411,9 +411,9 @@
     /// The time of a request whose body was sent on while it came begins now.
     fn uploaded(&mut self, id: RequestId) {
         let now = Instant::now();
+        let Some(patience) = self.live.get_mut(&id).and_then(|live| live.upload.take()) else { return };
+        let deadline = self.ends_by(now + patience);
         let Some(live) = self.live.get_mut(&id) else { return };
-        let Some(patience) = live.upload.take() else { return };
-        let deadline = self.end.map_or(now + patience, |end| end.min(now + patience));
         live.sent.set(now);
         live.deadline = deadline;
         self.due.push(Reverse((live.deadline - LAST_RESORT, Due::LastResort(id))));
