A watch that ends after a move is opened again: one place knows whether one is open

Cause: Discovery::keep held 'waits' from before the watch. The first watch after a move opens unasked, so its end put no Scope::Failed where it had told its list; the next round then waited for a wish that the module does not have while it believes itself subscribed. Ruled out: a lost notice (Notify keeps one) and a connection that hangs (none is open).

Change: follow alone knows whether a watch is open, opens one for each wish, and tells the end of each watch of the present address. The address before is listened to until its watch ends, and is never called again; before, its task could take the wish that was meant for the new one. A resumed watch that has nothing new says so to the module.

--- a/crates/cli/tests/sockets/mod.rs
+++ b/crates/cli/tests/sockets/mod.rs
@@ -374,7 +374,12 @@
 
 impl Proxy {
     pub fn start(discovery: &Discovery, setup: &Setup) -> Self {
-        let file = config_file(&config(discovery.address, setup));
+        Proxy::start_with(&config(discovery.address, setup), setup)
+    }
+
+    /// Starts a proxy with a configuration of the test's own.
+    pub fn start_with(text: &str, setup: &Setup) -> Self {
+        let file = config_file(text);
         let program = env!("CARGO_BIN_EXE_leadrelay");
         let mut command = match setup.descriptors {
             // Descriptor 3 as the platform passes it: through the shell, the only way without system calls.
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -14,9 +14,9 @@
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 use tracing::{info, warn};
 
 use crate::host::Host;
@@ -26,6 +26,7 @@
 /// it would tell counts as told 6 s after it was said: a new watch has to be up before that.
 const SILENCE: Duration = Duration::from_secs(3);
 const CONNECT: Duration = Duration::from_secs(1);
+/// Where lists are pushed: spans between a watch that ended and the next.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 const MOST: usize = 4 << 20; // bytes of a line
 
@@ -58,34 +59,61 @@
 }
 
 /// Follows discovery wherever the configuration says that it is. With `asked` a watch is opened only when the
-/// module wants one. After a move the old service is listened to until the new one has told its list.
+/// module wants one, and its end is told, whatever it had told before: the module believes in a watch exactly as
+/// long as one is open, being opened, or its wish for one not yet taken up. A move is the exception: there the
+/// first watch opens unasked. Until the new service has told its list the old one's open watch is listened to, but
+/// never opened again.
 pub async fn follow(mut addresses: watch::Receiver<SocketAddr>, inbox: Inbox, asked: Option<Rc<Notify>>) {
     let believed = Rc::new(Cell::new(0));
-    let mut serving = JoinSet::new();
-    for number in 0.. {
-        let (told, first) = oneshot::channel();
-        let address = *addresses.borrow_and_update();
-        let source = Discovery {
-            address,
-            inbox: inbox.clone(),
-            seq: None,
-            number,
-            believed: believed.clone(),
-            told: Some(told),
+    let mut watches: JoinSet<(Discovery, String)> = JoinSet::new();
+    let mut number = 0;
+    let first = *addresses.borrow_and_update();
+    let mut resting = Some(Discovery::new(first, &inbox, number, &believed));
+    let mut backoff = BACKOFF.0;
+    let mut due = Instant::now();
+    let mut moves = true;
+    loop {
+        let wish = async {
+            match &asked {
+                Some(asked) => asked.notified().await,
+                None => sleep_until(due).await,
+            }
         };
-        let mut next = JoinSet::new();
-        next.spawn_local(source.keep(asked.clone()));
         tokio::select! {
-            biased; // a list that has been taken makes its source the one that counts
-            Ok(()) = first => serving = next, // ends the one before
-            moved = addresses.changed() => match moved {
-                Ok(()) => continue,
-                Err(_) => std::future::pending().await, // nobody is left who could move it
+            biased;
+            moved = addresses.changed(), if moves => match moved {
+                Ok(()) => {
+                    number += 1;
+                    let source = Discovery::new(*addresses.borrow_and_update(), &inbox, number, &believed);
+                    (resting, backoff) = (None, BACKOFF.0);
+                    watches.spawn_local(source.watch());
+                }
+                Err(_) => moves = false, // nobody is left who could move it
             },
-        }
-        info!(%address, "discovery has told its list");
-        if addresses.changed().await.is_err() {
-            while serving.join_next().await.is_some() {}
+            Some(ended) = watches.join_next() => {
+                let Ok((source, error)) = ended else { continue };
+                let address = source.address;
+                info!(%address, error, "discovery failed");
+                if source.number < number {
+                    continue; // another service has taken its place
+                }
+                if source.told {
+                    backoff = BACKOFF.0;
+                }
+                due = Instant::now() + backoff;
+                backoff = (backoff * 2).min(BACKOFF.1);
+                resting = Some(source);
+                if let Some(asked) = &asked {
+                    // A wish from before was for the watch that has just ended.
+                    let _ = timeout(Duration::ZERO, asked.notified()).await;
+                    inbox.put(Input::List(Scope::Failed, Vec::new()));
+                }
+            }
+            () = wish, if resting.is_some() => {
+                if let Some(source) = resting.take() {
+                    watches.spawn_local(source.watch());
+                }
+            }
         }
     }
 }
@@ -99,41 +127,25 @@
     /// Addresses are counted up; the highest that has told a whole list is believed, and none before it.
     number: u64,
     believed: Rc<Cell<u64>>,
-    /// Told of the first whole list.
-    told: Option<oneshot::Sender<()>>,
+    /// Whether the last watch has told anything of the list.
+    told: bool,
 }
 
 impl Discovery {
-    /// Keeps a watch open for ever, and takes it up again where it broke off. Where discovery is asked, each
-    /// watch but the first one after a move waits for the module's wish, and its end is told.
-    async fn keep(mut self, asked: Option<Rc<Notify>>) {
-        let mut backoff = BACKOFF.0;
-        loop {
-            let waits = self.number == 0 || self.seq.is_some();
-            if let Some(asked) = asked.as_ref().filter(|_| waits) {
-                asked.notified().await;
-            }
-            let before = self.seq;
-            let error = self.watch().await;
-            if self.number < self.believed.get() {
-                return; // what it would say is late
-            }
-            if asked.is_some() && waits {
-                info!(address = %self.address, error, "discovery failed");
-                self.inbox.put(Input::List(Scope::Failed, Vec::new()));
-                continue;
-            }
-            if self.seq != before {
-                backoff = BACKOFF.0;
-            }
-            info!(address = %self.address, error, again_ms = backoff.as_millis() as u64, "discovery failed");
-            sleep(backoff).await;
-            backoff = (backoff * 2).min(BACKOFF.1);
-        }
+    fn new(address: SocketAddr, inbox: &Inbox, number: u64, believed: &Rc<Cell<u64>>) -> Self {
+        let (inbox, believed) = (inbox.clone(), believed.clone());
+        Discovery { address, inbox, seq: None, number, believed, told: false }
+    }
+
+    /// Watches until it ends, and tells why it ended.
+    async fn watch(mut self) -> (Self, String) {
+        self.told = false;
+        let error = self.listen().await;
+        (self, error)
     }
 
-    /// Watches until it ends; returns why it ended.
-    async fn watch(&mut self) -> String {
+    /// Listens until the watch ends; returns why it ended.
+    async fn listen(&mut self) -> String {
         let after = self.seq.map_or(String::new(), |seq| format!("&after={seq}"));
         let mut lines = match timeout(CONNECT, get(self.address, &format!("watch=1{after}"))).await {
             Ok(Ok(lines)) => lines,
@@ -160,25 +172,38 @@
             return Err("discovery has moved".into());
         }
         if line.trim_ascii().is_empty() {
+            self.nothing_new();
             return Ok(());
         }
         let list: List = serde_json::from_slice(line).map_err(|e| format!("a broken line: {e}"))?;
-        if self.seq.is_some_and(|seq| list.seq < seq || list.seq == seq && !list.whole) {
-            info!(seq = list.seq, "stale news of discovery"); // what it says is older than what is known
-            return Ok(());
-        }
-        if !list.whole && self.seq.is_none() {
-            return Err("changes without a list".into());
+        match self.seq {
+            None if !list.whole => return Err("changes without a list".into()),
+            Some(seq) if list.seq < seq || list.seq == seq && !list.whole => {
+                self.nothing_new(); // older than what is known, or the same
+                return Ok(());
+            }
+            _ => {}
         }
         self.seq = Some(list.seq);
-        let scope = if list.whole { Scope::Full } else { Scope::Delta };
         self.believed.set(self.number);
-        self.inbox.put(Input::List(scope, list.entries()));
-        if let Some(told) = self.told.take() {
-            let _ = told.send(()); // nobody waits for it while the process ends
-        }
+        self.tell(if list.whole { Scope::Full } else { Scope::Delta }, list.entries());
         Ok(())
     }
+
+    /// The watch is alive and what is known is still true, which is news after a watch that has ended.
+    fn nothing_new(&mut self) {
+        if !self.told && self.seq.is_some() {
+            self.tell(Scope::Delta, Vec::new());
+        }
+    }
+
+    fn tell(&mut self, scope: Scope, hosts: Vec<Host>) {
+        if !std::mem::replace(&mut self.told, true) {
+            let (seq, hosts) = (self.seq, hosts.len());
+            info!(address = %self.address, seq, ?scope, hosts, "discovery has told its list");
+        }
+        self.inbox.put(Input::List(scope, hosts));
+    }
 }
 
 /// Asks for the whole list once.
