A call to discovery that waits its turn is not given up after a second

Cause: timeout(CONNECT, get(..)) in Discovery::watch bounded the connection and the wait in turn together by 1 s, while a call that waits less than the service's own limit is served. Its place is spent for nobody: the service is kept busy with calls that have been given up.

Change: the connection has 1 s, the answer to a call as long as a watch may be silent, 3 s; so has a whole list.

--- a/crates/cli/tests/discovery.rs
+++ b/crates/cli/tests/discovery.rs
@@ -143,3 +143,15 @@
     drained(&proxy);
     assert_eq!((old.count(), new.count()), (1, 3));
 }
+
+#[test]
+fn a_call_that_waits_its_turn_is_not_given_up() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let line = told(1, true, &backend, "up");
+    // A service that answers whoever has waited for 1.6 s, and nobody sooner.
+    let busy = Scripted::new(move |_| Turn::Tell(Duration::from_millis(1600), vec![line.clone()]));
+    let (_, proxy) = asking(busy.address, "null");
+    wait_for("/up", || proxy.is_up());
+    assert_eq!(busy.count(), 1, "its turn came, as nobody had given it up");
+    assert_eq!(status(&proxy, "r-1"), 200);
+}
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,6 +1,7 @@
 //! The list of backends: a watch that resumes where it broke off, and single whole lists.
 
 use std::cell::Cell;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,8 +24,11 @@
 use crate::inbox::{Inbox, Input};
 
 /// A watch sends an empty line every 2 s. One that is silent for longer may hang on a dead machine, and what
-/// it would tell counts as told 6 s after it was said: a new watch has to be up before that.
+/// it would tell counts as told 6 s after it was said: a new watch has to be up before that. A call that waits in
+/// turn is silent for as long: given up sooner, its place would be served for nothing, and an overbooked service
+/// would answer nobody in time.
 const SILENCE: Duration = Duration::from_secs(3);
+/// A connection that is not up by then never will be: coming up needs no turn.
 const CONNECT: Duration = Duration::from_secs(1);
 /// Where lists are pushed: spans between a watch that ended and the next.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
@@ -147,10 +151,9 @@
     /// Listens until the watch ends; returns why it ended.
     async fn listen(&mut self) -> String {
         let after = self.seq.map_or(String::new(), |seq| format!("&after={seq}"));
-        let mut lines = match timeout(CONNECT, get(self.address, &format!("watch=1{after}"))).await {
-            Ok(Ok(lines)) => lines,
-            Ok(Err(e)) => return e,
-            Err(_) => return "no answer".into(),
+        let mut lines = match get(self.address, &format!("watch=1{after}")).await {
+            Ok(lines) => lines,
+            Err(e) => return e,
         };
         loop {
             match timeout(SILENCE, lines.next()).await {
@@ -208,11 +211,12 @@
 
 /// Asks for the whole list once.
 pub async fn fetch(address: SocketAddr, inbox: Inbox) {
-    let list = timeout(SILENCE, async {
-        let body = get(address, "").await?.rest().await?;
+    let list = async {
+        let body = timeout(SILENCE, get(address, "").await?.rest()).await;
+        let body = body.unwrap_or_else(|_| Err("the list is silent".into()))?;
         serde_json::from_slice::<List>(&body).map_err(|e| format!("a broken list: {e}"))
-    });
-    match list.await.unwrap_or_else(|_| Err("no answer".into())) {
+    };
+    match list.await {
         Ok(list) => inbox.put(Input::List(Scope::Full, list.entries())),
         Err(e) => {
             info!(%address, error = e, "discovery failed");
@@ -264,8 +268,10 @@
     }
 }
 
+/// Calls discovery, within bounds for the connection and for the wait in turn.
 async fn get(address: SocketAddr, query: &str) -> Result<Lines, String> {
-    let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
+    let stream = timeout(CONNECT, TcpStream::connect(address)).await;
+    let stream = stream.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())).map_err(|e| e.to_string())?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
     let mut task = JoinSet::new();
     task.spawn_local(async move {
@@ -276,7 +282,8 @@
         .header("host", address.to_string())
         .body(Empty::new())
         .map_err(|e| e.to_string())?;
-    let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
+    let answer = timeout(SILENCE, sender.send_request(request)).await;
+    let answer = answer.map_err(|_| "no answer")?.map_err(|e| e.to_string())?;
     if answer.status() != StatusCode::OK {
         return Err(format!("status {}", answer.status()));
     }
