A discovery that counts its versions anew after a restart is believed

Cause: Discovery::take compared versions across watches.

Change: the first word of a new watch with a lower version is believed if it is the whole list; changes below the version that was asked for tell nothing, so the next call asks for the whole list. Within one watch an older list stays stale, as an older test wants.

--- a/crates/cli/tests/discovery.rs
+++ b/crates/cli/tests/discovery.rs
@@ -155,3 +155,34 @@
     assert_eq!(busy.count(), 1, "its turn came, as nobody had given it up");
     assert_eq!(status(&proxy, "r-1"), 200);
 }
+
+#[test]
+fn a_service_that_counts_its_versions_anew_is_believed() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let (up, drain) = (told(41, true, &backend, "up"), told(3, true, &backend, "draining"));
+    let restarted = Scripted::new(move |call| match call {
+        0 => Turn::End(vec![up.clone()]),
+        _ => Turn::Tell(Duration::ZERO, vec![drain.clone()]),
+    });
+    let (_, proxy) = asking(restarted.address, "null");
+    wait_for("/up", || proxy.is_up());
+    drained(&proxy);
+    assert_eq!(restarted.count(), 2);
+}
+
+#[test]
+fn changes_since_a_version_that_the_service_never_had_lead_to_the_whole_list() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let up = told(41, true, &backend, "up");
+    let (changes, whole) = (list(3, false, &[]), told(3, true, &backend, "draining"));
+    let restarted = Scripted::new(move |call| match call {
+        0 => Turn::End(vec![up.clone()]),
+        1 => Turn::Tell(Duration::ZERO, vec![changes.clone()]),
+        _ => Turn::Tell(Duration::ZERO, vec![whole.clone()]),
+    });
+    let (_, proxy) = asking(restarted.address, "null");
+    wait_for("/up", || proxy.is_up());
+    drained(&proxy);
+    let lines = restarted.lines();
+    assert!(lines[1].contains("after=41") && !lines[2].contains("after"), "{lines:?}");
+}
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -181,6 +181,15 @@
         let list: List = serde_json::from_slice(line).map_err(|e| format!("a broken line: {e}"))?;
         match self.seq {
             None if !list.whole => return Err("changes without a list".into()),
+            // A service that has begun its versions anew: its whole list is what holds now, but what changed since
+            // a version that it has never had is nothing that it could tell.
+            Some(seq) if list.seq < seq && !self.told => {
+                self.seq = None;
+                if !list.whole {
+                    return Err(format!("changes up to version {} after version {seq}", list.seq));
+                }
+                info!(address = %self.address, seq = list.seq, before = seq, "discovery counts its versions anew");
+            }
             Some(seq) if list.seq < seq || list.seq == seq && !list.whole => {
                 self.nothing_new(); // older than what is known, or the same
                 return Ok(());
