--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -59,6 +59,7 @@
             news: STALE,
             subscribed: false,
             ask_at: 0.0,
+            calls_failed: 0,
             overlay: Overlay::default(),
             choices: Default::default(),
             safe_traffic: cfg.classes.iter().any(|c| c.effect == Effect::Safe),
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -57,6 +57,7 @@
     pub(crate) news: Millis, // mean span between this proxy's messages
     pub(crate) subscribed: bool,
     pub(crate) ask_at: Millis,
+    pub(crate) calls_failed: u32, // calls to discovery that failed in a row
     pub(crate) overlay: Overlay,
     pub(crate) safe_traffic: bool, // a class on offer is safe to repeat
     pub(crate) choices: Choices,   // what the threshold has decided
