Lab: a reconnection storm, and when every proxy has its list again

leadrelay-lab reconnect breaks all watches of a fleet at once, before a discovery that answers so many calls a second for each proxy, and tells when the last one has its list. Proxies are the core's own decisions; the service is one queue in turn, whose calls that were given up are served for nothing.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod decide;
 pub mod draw;
 pub mod ledger;
+pub mod reconnect;
 pub mod scenario;
 pub mod wire;
 pub mod world;
