Clients and backends no longer go over the descriptors that a process is given

Evidence: a test with 256 descriptors, of which clients hold what they can while 100 requests wait at backends, counts 280 of 256 in /proc/PID/fd. Cause: frontend.rs, Frontend::most let clients take 15/16 of the budget while few connections to backends were open; server.rs gave backends a quarter of the budget beside that, and nothing asked idle clients to go first. Ruled out: the proxy's own use (14 of the 32 kept for it); discovery and signals lacked none in a test where 300 idle clients came while it was down (78 of 96 before the change, 66 after). Change: clients get three quarters of the budget and backends their quarter, whoever comes first; a socket's part of the budget is given back with the socket. Not reached: while two processes share the budget during an upgrade, connections to backends may still grow to a quarter of the whole budget rather than of the half.

--- a/crates/cli/tests/sockets/mod.rs
+++ b/crates/cli/tests/sockets/mod.rs
@@ -199,6 +199,28 @@
     }
 }
 
+/// An address that refuses all who come until it is opened. Nobody else gets it meanwhile.
+pub struct Closed {
+    pub address: SocketAddr,
+    socket: socket2::Socket,
+}
+
+impl Closed {
+    pub fn new() -> Self {
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        socket.bind(&any.into()).expect("a port");
+        let address = socket.local_addr().ok().and_then(|a| a.as_socket()).expect("an address");
+        Closed { address, socket }
+    }
+
+    pub fn open(self) -> TcpListener {
+        self.socket.listen(128).expect("a queue");
+        self.socket.into()
+    }
+}
+
 /// Discovery for one proxy: each watch gets the lines sent so far and those that follow.
 pub struct Discovery {
     pub address: SocketAddr,
@@ -209,7 +231,10 @@
 
 impl Discovery {
     pub fn new() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        Discovery::on(TcpListener::bind("127.0.0.1:0").expect("a port"))
+    }
+
+    pub fn on(listener: TcpListener) -> Self {
         let address = listener.local_addr().expect("an address");
         let (lines, asked) = (Arc::new(Mutex::new(Vec::new())), Seen::default());
         let (stop, stopped) = channel();
@@ -374,7 +399,12 @@
 
 impl Proxy {
     pub fn start(discovery: &Discovery, setup: &Setup) -> Self {
-        let file = config_file(&config(discovery.address, setup));
+        Proxy::start_by(discovery.address, setup)
+    }
+
+    /// Starts a proxy whose discovery is at this address, or nowhere.
+    pub fn start_by(discovery: SocketAddr, setup: &Setup) -> Self {
+        let file = config_file(&config(discovery, setup));
         let program = env!("CARGO_BIN_EXE_leadrelay");
         let mut command = match setup.descriptors {
             // Descriptor 3 as the platform passes it: through the shell, the only way without system calls.
@@ -399,8 +429,12 @@
             command.env("TMPDIR", folder).env("NODE_PASSED_SOCKET", "3");
             command.stdin(std::os::fd::OwnedFd::from(listener));
         }
-        let mut child =
-            command.env("NODE_CONFIG", &file).stderr(Stdio::piped()).spawn().expect("the proxy starts");
+        let child = command.env("NODE_CONFIG", &file).stderr(Stdio::piped()).spawn();
+        Proxy::of(child.expect("the proxy starts"), file)
+    }
+
+    /// Waits until a process listens, whose log is piped.
+    pub fn of(mut child: Child, file: std::path::PathBuf) -> Self {
         let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
         let log = Arc::new(Mutex::new(String::new()));
         let address = lines.by_ref().map_while(Result::ok).find_map(|line| {
@@ -493,6 +527,11 @@
         line.trim().trim_end_matches(" kB").parse().expect("a number")
     }
 
+    /// Descriptors that the process holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("the process runs").count()
+    }
+
     /// Whether the log holds a text.
     pub fn said(&self, text: &str) -> bool {
         self.log.lock().expect("no panic").contains(text)
--- a/crates/proxy/src/frontend.rs
+++ b/crates/proxy/src/frontend.rs
@@ -90,8 +90,8 @@
 /// Wait after a failed accept, lest it spin.
 const PAUSE: Duration = Duration::from_millis(10);
 
-/// One socket in so many is kept free for backends.
-const NEXT: usize = 16;
+/// One socket in so many is for backends: theirs whatever clients hold, or both together would be over the budget.
+const BACKENDS: usize = 4;
 /// Part of the budget that may have requests open at once; those beyond it are refused.
 const BUSY: (usize, usize) = (5, 8);
 
@@ -150,6 +150,11 @@
     fn now(&self) -> usize {
         if self.handover.as_ref().is_some_and(|h| h.twin()) { self.shared } else { self.whole }
     }
+
+    /// Those for backends.
+    pub fn backends(&self) -> usize {
+        self.whole / BACKENDS
+    }
 }
 
 /// What all connections share.
@@ -261,10 +266,11 @@
         self.drained.get() || self.stopping.get()
     }
 
-    /// Connections that are let in: what backends leave of the budget, less a little for what they need next.
+    /// Connections that are let in: the budget but for the part of the backends. While another process shares the
+    /// budget, connections to backends from before may still be more than that part.
     fn most(&self) -> usize {
         let budget = self.budget.now();
-        (budget - budget / NEXT).saturating_sub(self.upstreams.in_use())
+        budget.saturating_sub(self.upstreams.in_use().max(budget / BACKENDS))
     }
 
     async fn accept(self: Rc<Self>, listener: &TcpListener) {
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -192,13 +192,14 @@
     let shared = (config.sockets / 2).saturating_sub(RESERVE).max(RESERVE / 2);
     let whole = config.sockets.saturating_sub(RESERVE).max(RESERVE);
     let budget = frontend::Budget { whole, shared, handover: handover.clone() };
-    // The module sends to a backend only while it has a free slot there, but clients come as they like: most
-    // of the budget is theirs.
+    // The module sends to a backend only while it has a free slot there, but clients come as they like: most of the
+    // budget is theirs, yet never the backends' part.
     // Two processes share the memory during an upgrade.
     let pool = || flow::Pool::new(config.memory / POOL);
     let memory = flow::Memory { pieces: pool(), ahead: pool() };
     let plain = matches!(config.dialect, Dialect::Plain(_));
-    let upstreams = upstream::Upstreams::new(&config.connections, whole / 4, plain, metrics.clone(), memory);
+    let upstreams =
+        upstream::Upstreams::new(&config.connections, budget.backends(), plain, metrics.clone(), memory);
     let upstreams = Rc::new(upstreams);
     let drained = Rc::new(Cell::new(false));
     let asked = Rc::new(Notify::new());
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -149,6 +149,8 @@
     sender: SendRequest<Written>,
     meter: Rc<Meter>,
     stream: Rc<TcpStream>,
+    /// The socket's part of the budget, for as long as this end holds it open.
+    _permit: Rc<OwnedSemaphorePermit>,
     driver: JoinHandle<()>,
     /// It has had no request yet.
     first: bool,
@@ -307,7 +309,7 @@
 struct Metered {
     stream: Rc<TcpStream>,
     meter: Rc<Meter>,
-    _permit: OwnedSemaphorePermit,
+    _permit: Rc<OwnedSemaphorePermit>,
 }
 
 /// Reads from a socket that others hold too.
@@ -505,13 +507,13 @@
             self.close_idle();
         }
         let waits = Counted::new(&self.waiting);
-        let permit = self.sockets.clone().acquire_owned().await.map_err(io::Error::other)?;
+        let permit = Rc::new(self.sockets.clone().acquire_owned().await.map_err(io::Error::other)?);
         drop(waits);
         self.metrics.dials.inc();
         let stream = Rc::new(TcpStream::connect(address).await?);
         stream.set_nodelay(true)?;
         let meter = Rc::new(Meter { metrics: Some(self.metrics.clone()), ..Meter::default() });
-        let io = Metered { stream: stream.clone(), meter: meter.clone(), _permit: permit };
+        let io = Metered { stream: stream.clone(), meter: meter.clone(), _permit: permit.clone() };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER)
             .handshake(TokioIo::new(io))
@@ -520,7 +522,7 @@
         let driver = tokio::task::spawn_local(async move {
             let _ = connection.await; // errors show at the request
         });
-        Ok(Connection { sender, meter, stream, driver, first: true })
+        Ok(Connection { sender, meter, stream, _permit: permit, driver, first: true })
     }
 
     /// Passes an answer on, as fast as its client reads; whether the backend has finished it.
