A proxy without a list says after 5 s that it serves, and refuses until discovery is back

Symptom: with nothing of use in 'known' and discovery down, silent, overbooked or slow, GET /up never answers 200. Cause: driver.rs, Driver::run called 'serve' only with a remembered list or after a whole one. And Driver::list took a remembered list for one to serve from when no host in it is in use (all drain, or none has an address). Ruled out: with a usable remembered list it was ready after 0.5 s before, in all five cases. Change: without a remembered list that names a backend in use it serves after 5 s; what comes is refused with Retry-After. Not sooner: a client sent elsewhere meanwhile may be served there.

--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -37,6 +37,9 @@
 const SWEEP: Duration = Duration::from_secs(1); // between looks at idle connections
 /// If discovery has said nothing by then, the remembered list is served from.
 const PATIENCE: Duration = Duration::from_millis(500);
+/// Without a remembered list that names anyone it is served without one by then. What comes is refused until discovery
+/// is back; a proxy that says nothing would pass for one that never starts.
+const MOST_PATIENCE: Duration = Duration::from_secs(5);
 const GAUGE: Duration = Duration::from_millis(100); // between counts of the list
 const TALLY: Duration = Duration::from_secs(5); // between lines that sum up what was done
 /// Zones and kinds that are told apart: a bound, whatever discovery comes up with over the years.
@@ -133,7 +136,7 @@
     listed: Listed,
     /// The list as it stands.
     hosts: FxHashMap<BackendId, Host>,
-    /// Whether there is a remembered list to serve from.
+    /// Whether there is a remembered list to serve from: one that names a backend in use.
     remembers: bool,
     /// Whether the module knows of another process.
     twin: bool,
@@ -193,7 +196,7 @@
             if now >= gauge {
                 self.gauge();
                 self.parts.upstreams.retire();
-                if self.remembers && started.elapsed() >= PATIENCE {
+                if started.elapsed() >= if self.remembers { PATIENCE } else { MOST_PATIENCE } {
                     self.serve();
                 }
                 self.share(now >= sweep);
@@ -517,7 +520,7 @@
             Scope::Failed => self.tally.asked[1] += 1,
             Scope::Cached => {}
         }
-        let some = !entries.is_empty();
+        let some = entries.iter().any(|e| e.state == State::Up);
         self.handle(Event::List { scope, entries });
         match scope {
             Scope::Full => self.serve(),
