A process heeds its signals before it reads its configuration

Symptom: SIGHUP or SIGTERM in the first moments kills the process by the signal's default action, which counts as a crash. Cause: cli/main.rs, serve read the configuration and opened the log before proxy/server.rs, serve installed the handlers. Ruled out: a signal within the reading is not lost once the handlers stand: reading goes on, one re-reading follows. Change: Process::new opens the runtime and the handlers first; the first reading has a thread, so that SIGTERM and SIGINT end the process at once with code 0; SIGHUP before leads to one reading more when it runs. Left: what comes before main, about the time that the system takes to load the program.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,6 +9,7 @@
 use std::process::ExitCode;
 
 use clap::{CommandFactory as _, Parser as _};
+use leadrelay_proxy::Process;
 use leadrelay_proxy::config::{self, Config, Format};
 
 use args::{Check, Cli, Command, LogFormat, Serve, Show};
@@ -60,7 +61,10 @@
 }
 
 fn serve(serve: Serve) -> Result<(), End> {
-    let mut config = with_environment(config::read(&serve.config).map_err(End::usage)?)?;
+    let mut process = Process::new()?;
+    let file = serve.config.clone();
+    let Some(read) = process.prepare(move || config::read(&file))? else { return Ok(()) };
+    let mut config = with_environment(read.map_err(End::usage)?)?;
     if let Some(filter) = serve.log {
         config.logging.filter = filter;
     }
@@ -70,7 +74,7 @@
         None => {}
     }
     let _log = logging::start(&config.logging).map_err(|e| End(USAGE, format!("{e:#}")))?;
-    Ok(leadrelay_proxy::serve(&serve.config, config)?)
+    Ok(process.serve(&serve.config, config)?)
 }
 
 fn check(check: &Check) -> Result<(), End> {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,7 +1,7 @@
 //! The sockets round [`leadrelay_core`]: clients, backends, discovery, peers and operators, every decision in the core.
 //!
-//! [`config::read`] gives a [`config::Config`], [`serve`] runs it by the process's signals, and [`spawn`] runs it in a
-//! thread of its own.
+//! [`config::read`] gives a [`config::Config`], a [`Process`] runs it by its signals, and [`spawn`] runs it in a thread
+//! of its own.
 
 mod admin;
 mod cause;
@@ -28,4 +28,4 @@
 pub use error::Error;
 pub use host::Host;
 pub use metrics::{Metrics, Taken};
-pub use server::{Addresses, Running, serve, spawn};
+pub use server::{Addresses, Process, Running, spawn};
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -9,6 +9,7 @@
 
 use leadrelay_core::{Balancer, Discovery, Scope};
 use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::{LocalSet, spawn_local};
@@ -252,33 +253,79 @@
     }
 }
 
-fn on_runtime<T>(work: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
+fn runtime() -> Result<Runtime, Error> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(Error::system("the runtime"))?;
+    runtime.map_err(Error::system("the runtime"))
+}
+
+fn on_runtime<T>(runtime: Runtime, work: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
     let outcome = LocalSet::new().block_on(&runtime, work);
     runtime.shutdown_background();
     outcome
 }
 
-/// Runs a proxy in this thread until SIGTERM or SIGINT, when it finishes what it has taken. At SIGHUP it reads `path`
-/// again.
-///
-/// # Errors
-/// If something that it needs can't be opened, before it has taken anything; or if its decisions end.
-pub fn serve(path: &Path, config: Config) -> Result<(), Error> {
-    on_runtime(async {
-        let signal = |kind, name: &str| signal(kind).map_err(Error::system(name));
-        let mut term = signal(SignalKind::terminate(), "SIGTERM")?;
-        let mut int = signal(SignalKind::interrupt(), "SIGINT")?;
-        let hup = signal(SignalKind::hangup(), "SIGHUP")?;
+/// A process that heeds its signals. They end it unheeded until there is one of these: that comes before all else.
+pub struct Process {
+    runtime: Runtime,
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Process {
+    /// Begins to heed SIGTERM, SIGINT and SIGHUP.
+    ///
+    /// # Errors
+    /// If the system does not let it.
+    pub fn new() -> Result<Self, Error> {
+        let runtime = runtime()?;
+        let context = runtime.enter();
+        let heed = |kind, name: &str| signal(kind).map_err(Error::system(name));
+        let terminate = heed(SignalKind::terminate(), "SIGTERM")?;
+        let interrupt = heed(SignalKind::interrupt(), "SIGINT")?;
+        let hangup = heed(SignalKind::hangup(), "SIGHUP")?;
+        drop(context);
+        Ok(Process { runtime, terminate, interrupt, hangup })
+    }
+
+    /// Does what may take long before the proxy runs; `None` if the process is told to end meanwhile.
+    ///
+    /// # Errors
+    /// If there is no thread for it, or it panics.
+    pub fn prepare<T: Send + 'static>(
+        &mut self, work: impl FnOnce() -> T + Send + 'static,
+    ) -> Result<Option<T>, Error> {
+        let (done, outcome) = oneshot::channel();
+        let work = move || drop(done.send(work())); // told to end, nobody waits for it
+        let thread = std::thread::Builder::new().name("start".into()).spawn(work);
+        thread.map_err(Error::system("a thread for the start"))?;
+        let (terminate, interrupt) = (&mut self.terminate, &mut self.interrupt);
+        self.runtime.block_on(async {
+            tokio::select! {
+                biased;
+                _ = terminate.recv() => Ok(None),
+                _ = interrupt.recv() => Ok(None),
+                outcome = outcome => outcome.map(Some).map_err(|e| Error::Driver(e.to_string())),
+            }
+        })
+    }
+
+    /// Runs a proxy in this thread until SIGTERM or SIGINT, when it finishes what it has taken. At SIGHUP it reads
+    /// `path` again; one that came before leads to one more reading.
+    ///
+    /// # Errors
+    /// If something that it needs can't be opened, before it has taken anything; or if its decisions end.
+    pub fn serve(self, path: &Path, config: Config) -> Result<(), Error> {
+        let Process { runtime, mut terminate, mut interrupt, hangup } = self;
         let stop = async move {
             tokio::select! {
-                _ = term.recv() => {}
-                _ = int.recv() => {}
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
             }
         };
-        run(config, Some((path.to_owned(), hup)), Arc::default(), |_| {}, stop).await
-    })
+        let reload = Some((path.to_owned(), hangup));
+        on_runtime(runtime, run(config, reload, Arc::default(), |_| {}, stop))
+    }
 }
 
 /// A proxy that runs in a thread of this process.
@@ -294,7 +341,7 @@
 /// Starts a proxy in a thread of its own, and returns once it listens. It heeds no signals.
 ///
 /// # Errors
-/// As [`serve`].
+/// As [`Process::serve`].
 pub fn spawn(config: Config) -> Result<Running, Error> {
     let (stop, stopped) = oneshot::channel::<()>();
     let (ready, addresses) = std::sync::mpsc::channel();
@@ -305,7 +352,7 @@
             let _ = ready.send(at); // whoever waits for it has not gone
         };
         let stop = async move { drop(stopped.await) };
-        on_runtime(run(config, None, own, ready, stop))
+        on_runtime(runtime()?, run(config, None, own, ready, stop))
     };
     let thread = std::thread::Builder::new().name("proxy".into()).spawn(work);
     let thread = thread.map_err(Error::system("a thread for the proxy"))?;
