The handover's lock is never waited for, and an order has its word within 0.5 s

Symptom: while another process holds the lock, stopped or stuck, the proxy serves nobody, does not start, and does not end. Evidence: a test that holds the lock: an order had no word in 0.9 s (503), a process started beside it only once the lock was let go, after 10 s. Cause: handover.rs, Handover::update waited in 'lock' on the thread that runs the driver and all clients; called at the start, at each order, each second and at SIGTERM. Ruled out: reading needs no lock, as the file is replaced by rename; so a process that ends still sees its successor. Change: 'update' only tries. The state is saved anew each second in any case. The driver's loop now wakes for that look also where nothing else is due.

--- a/crates/cli/tests/operations.rs
+++ b/crates/cli/tests/operations.rs
@@ -4,6 +4,7 @@
 use std::io::{Read, Write};
 use std::net::{TcpListener, UdpSocket};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use sockets::*;
 
@@ -291,3 +292,86 @@
     let proxy = Proxy::up(&discovery, &Setup { passed: Some((listener, folder)), ..operated() });
     assert_eq!(status(Client::new(&proxy).ask(&page("r-1"))), 200);
 }
+
+/// Holds the handover's lock as another process does that was stopped in the middle of a change.
+fn locked(folder: &std::path::Path) -> std::fs::File {
+    let lock = std::fs::File::create(folder.join("leadrelay-n0.lock")).expect("a file");
+    lock.lock().expect("nobody else holds it for long");
+    lock
+}
+
+/// An order and the time until its answer.
+fn ordered(proxy: &Proxy, call: &str) -> (u16, Duration) {
+    let begun = Instant::now();
+    (proxy.call(call).status(), begun.elapsed())
+}
+
+#[test]
+fn a_handover_that_another_process_has_locked_holds_up_nothing() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let passed = platform("locked");
+    let folder = passed.1.clone();
+    let mut proxy = Proxy::up(&discovery, &Setup { passed: Some(passed), deadline: 1000, ..operated() });
+    let lock = locked(&folder);
+    for call in ["PUT /backends/s-0/maint", "PUT /backends/s-0/ready", "PUT /healthcheck/fail"] {
+        let (status, after) = ordered(&proxy, call);
+        eprintln!("{call}: {status} after {after:?}");
+        assert_eq!(status, 404, "{call}");
+        assert!(after < Duration::from_secs(1), "{call}: {after:?}");
+    }
+    // Longer than from one writing of the state to the next.
+    let end = Instant::now() + Duration::from_millis(2500);
+    while Instant::now() < end {
+        let begun = Instant::now();
+        assert_eq!(status(Client::new(&proxy).ask(&page("r-1"))), 200);
+        assert!(begun.elapsed() < Duration::from_secs(1), "{:?}", begun.elapsed());
+    }
+    // An order waits for a lock that is held for a moment only.
+    let answer = std::thread::scope(|scope| {
+        let order = scope.spawn(|| ordered(&proxy, "PUT /healthcheck/ok"));
+        std::thread::sleep(Duration::from_millis(100));
+        drop(lock);
+        order.join().expect("no panic")
+    });
+    assert_eq!(answer.0, 200, "{answer:?}");
+    assert_eq!(ordered(&proxy, "PUT /backends/s-0/maint").0, 200);
+    let left = std::fs::read_to_string(folder.join("leadrelay-n0.json")).expect("a file");
+    assert!(left.contains(r#""drained":false"#) && !left.contains(r#""bans":[]"#), "{left}");
+    let lock = locked(&folder);
+    let begun = Instant::now();
+    proxy.terminate();
+    assert!(proxy.wait().success());
+    eprintln!("SIGTERM: the end after {:?}", begun.elapsed());
+    assert!(begun.elapsed() < Duration::from_millis(1700), "{:?}", begun.elapsed());
+    drop(lock);
+    std::fs::remove_dir_all(folder).expect("it is there");
+}
+
+#[test]
+fn a_process_starts_while_another_one_has_locked_the_handover() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let passed = platform("start");
+    let folder = passed.1.clone();
+    let lock = locked(&folder);
+    let begun = Instant::now();
+    let held = Arc::new(std::sync::Mutex::new(Some(lock)));
+    let kept = held.clone();
+    // Lets go in the end, so that a process that waits for it is seen to be late.
+    std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_secs(10));
+        kept.lock().expect("no panic").take();
+    });
+    let proxy = Proxy::up(&discovery, &Setup { passed: Some(passed), ..operated() });
+    assert!(begun.elapsed() < Duration::from_secs(5), "{:?}", begun.elapsed());
+    assert_eq!(status(Client::new(&proxy).ask(&page("r-1"))), 200);
+    // What was to be said at the start is said once it can be.
+    let file = folder.join("leadrelay-n0.json");
+    assert!(!file.exists());
+    held.lock().expect("no panic").take();
+    wait_for("its word", || std::fs::read_to_string(&file).is_ok_and(|t| t.contains(r#""stage":"Serving""#)));
+    std::fs::remove_dir_all(folder).expect("it is there");
+}
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -174,7 +174,8 @@
         let started = Instant::now();
         let mut gauge = started;
         loop {
-            let next = self.due.peek().map_or(sweep, |Reverse((at, _))| (*at).min(sweep));
+            let looks = sweep.min(gauge);
+            let next = self.due.peek().map_or(looks, |Reverse((at, _))| (*at).min(looks));
             tokio::select! {
                 biased; // operators wait for their answer, and their word goes before what clients want
                 Some(command) = self.parts.commands.recv() => self.obey(command),
@@ -215,15 +216,14 @@
 
     /// Carries out what an operator asks for, and answers once it holds.
     fn obey(&mut self, Command { order, done }: Command) {
-        let yes = match order {
+        match order {
             Order::Drain(drain) => {
                 self.drain(drain);
-                self.hand_on(|left| left.drained = drain)
+                self.hand_on(done, move |left| left.drained = drain);
             }
-            Order::Maintain(host) => self.maintain(&host, true),
-            Order::Ready(host) => self.maintain(&host, false),
-        };
-        let _ = done.send(yes); // a caller that has left needs no answer
+            Order::Maintain(host) => self.maintain(&host, true, done),
+            Order::Ready(host) => self.maintain(&host, false, done),
+        }
     }
 
     fn drain(&mut self, drained: bool) {
@@ -233,16 +233,17 @@
     }
 
     /// Takes a backend out of use or puts it back; no if it has never been listed.
-    fn maintain(&mut self, host: &str, banned: bool) -> bool {
+    fn maintain(&mut self, host: &str, banned: bool, done: oneshot::Sender<bool>) {
         let id = BackendId(number_of(host));
         if !self.listed.contains(id) {
-            return false;
+            let _ = done.send(false); // a caller that has left needs no answer
+            return;
         }
         self.ban(id, banned);
-        self.hand_on(|left| {
+        self.hand_on(done, move |left| {
             left.bans.retain(|other| *other != id.0);
             left.bans.extend(banned.then_some(id.0));
-        })
+        });
     }
 
     fn ban(&mut self, id: BackendId, banned: bool) {
@@ -252,19 +253,18 @@
         self.handle(Event::Maintenance { backend: id, banned });
     }
 
-    /// Writes down for the other process, if there may be one, what an order has changed; false if it can't.
-    fn hand_on(&self, change: impl FnOnce(&mut Left)) -> bool {
-        let Some(handover) = &self.parts.handover else { return true };
-        let done = handover.update(change);
-        if let Err(e) = &done {
-            warn!(error = %e, "the handover could not be written");
+    /// Writes down for the other process, if there may be one, what an order has changed, and answers then.
+    fn hand_on(&self, done: oneshot::Sender<bool>, change: impl Fn(&mut Left) + 'static) {
+        match &self.parts.handover {
+            Some(handover) => handover.order(change, done),
+            None => drop(done.send(true)), // a caller that has left needs no answer
         }
-        done.is_ok()
     }
 
     /// Keeps up with the other process of this proxy, and keeps what it needs written down.
     fn share(&mut self, save: bool) {
         let Some(handover) = self.parts.handover.clone() else { return };
+        handover.settle();
         if save {
             handover.look();
         }
@@ -281,14 +281,18 @@
         }
     }
 
-    /// Writes down what a successor needs.
+    /// Writes down what a successor needs; what can't be now will be the next time.
     fn save(&self) {
+        let Some(handover) = &self.parts.handover else { return };
         let listed = self.listed.ids.iter().map(|id| id.0).collect();
         let (hosts, speeds) = (self.hosts.values().cloned().collect(), self.speeds());
-        self.hand_on(|left| (left.listed, left.hosts, left.speeds) = (listed, hosts, speeds));
+        let done = handover.update(|left| (left.listed, left.hosts, left.speeds) = (listed, hosts, speeds));
+        if let Err(e) = done {
+            warn!(error = %e, "the handover could not be written");
+        }
     }
 
-    /// From here on the process can serve. That is written down before it is said.
+    /// From here on the process can serve. That is written down before it is said, unless the handover is locked.
     fn serve(&mut self) {
         if self.parts.handover.as_ref().is_some_and(|h| h.serves()) {
             self.save();
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -1,18 +1,21 @@
 //! An upgrade: two processes run beside each other as one proxy, on a listening socket that the platform holds.
 //! What one needs of the other lies in one small file, replaced whole.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::ffi::OsStr;
-use std::fs::File;
+use std::fs::{File, TryLockError};
 use std::io;
 use std::net::TcpListener;
 use std::os::fd::{FromRawFd, RawFd};
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use leadrelay_core::Mean;
 use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
 use tracing::warn;
 
 use crate::host::Host;
@@ -20,6 +23,9 @@
 /// Version of the file's form. Another version's file is as good as none.
 const VERSION: u32 = 1;
 
+/// An order that can't be written down for this long is answered with no: its caller waits little longer.
+const PATIENCE: Duration = Duration::from_millis(500);
+
 /// A file's number and the time of its last change.
 type Mark = (u64, i64, i64);
 
@@ -61,7 +67,14 @@
     pub back: Vec<(u64, f64, f64)>,
 }
 
-/// This process's end of the file.
+/// What an operator has changed, to be written down before the yes.
+struct Change {
+    apply: Box<dyn Fn(&mut State)>,
+    due: Instant,
+    done: oneshot::Sender<bool>,
+}
+
+/// This process's end of the file. The lock is never waited for, as the other process may be stopped while it holds it.
 pub struct Handover {
     file: PathBuf,
     lock: File,
@@ -70,6 +83,10 @@
     seen: Cell<Option<Mark>>,
     twin: Cell<bool>,
     owner: Cell<bool>,
+    /// The file doesn't tell yet how far this process is.
+    behind: Cell<bool>,
+    /// Orders that are not written down yet.
+    changes: RefCell<Vec<Change>>,
 }
 
 impl Handover {
@@ -83,10 +100,15 @@
             seen: Cell::new(None),
             twin: Cell::new(false),
             owner: Cell::new(false),
+            behind: Cell::new(true),
+            changes: RefCell::default(),
         };
+        handover.seen.set(handover.mark());
         let left = handover.load();
-        handover.update(|_| {})?;
-        Ok((handover, left))
+        match handover.update(|_| {}) {
+            Err(e) if e.kind() != io::ErrorKind::WouldBlock => Err(e),
+            _ => Ok((handover, left)),
+        }
     }
 
     /// What the file says; `None` if there is none or it is of no use.
@@ -110,14 +132,55 @@
         }
     }
 
-    /// Changes the file, which the other process may be changing too.
+    /// Changes the file, unless the other process is changing it: then the error is that this would block.
     pub fn update(&self, change: impl FnOnce(&mut State)) -> io::Result<()> {
-        self.lock.lock()?;
+        self.behind.set(true);
+        match self.lock.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => return Err(io::ErrorKind::WouldBlock.into()),
+            Err(TryLockError::Error(e)) => return Err(e),
+        }
         let done = self.replace(change);
         self.lock.unlock()?;
+        self.behind.set(done.is_err());
         done
     }
 
+    /// Writes down what an order has changed, and tells whether it could be, at once or within `PATIENCE`.
+    pub fn order(&self, apply: impl Fn(&mut State) + 'static, done: oneshot::Sender<bool>) {
+        let due = Instant::now() + PATIENCE;
+        self.changes.borrow_mut().push(Change { apply: Box::new(apply), due, done });
+        self.settle();
+    }
+
+    /// Writes down what is still to be.
+    pub fn settle(&self) {
+        let changes = self.changes.take();
+        if changes.is_empty() && !self.behind.get() {
+            return;
+        }
+        let written = match self.update(|state| changes.iter().for_each(|c| (c.apply)(state))) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                let (late, waiting) = changes.into_iter().partition(|c| c.due <= Instant::now());
+                self.changes.replace(waiting);
+                if !late.is_empty() {
+                    warn!("the handover is locked, and an order is not written down");
+                }
+                return answer(late, false);
+            }
+            written => written,
+        };
+        if changes.is_empty() {
+            return; // whoever saves the state tells of an error
+        }
+        if let Err(e) = &written {
+            warn!(error = %e, "the handover could not be written");
+        }
+        // Read once more: what the other process wrote while these waited has undone them here.
+        self.seen.set(None);
+        answer(changes, written.is_ok());
+    }
+
     fn replace(&self, change: impl FnOnce(&mut State)) -> io::Result<()> {
         let mut state = self.load().unwrap_or_default();
         state.version = VERSION;
@@ -188,15 +251,19 @@
     /// Says that this process ends; whether a later one serves already.
     pub fn leave(&self) -> bool {
         self.stage.set(Stage::Stopping);
-        let mut succeeded = false;
-        let done = self.update(|state| {
-            let later = state.processes.iter().skip_while(|p| p.pid != me());
-            succeeded = later.skip(1).any(|p| p.stage == Stage::Serving && runs(p.pid));
-        });
-        if let Err(e) = done {
+        if let Err(e) = self.update(|_| {}) {
             warn!(error = %e, "the handover could not be written");
         }
-        succeeded
+        self.load().is_some_and(|state| {
+            let later = state.processes.iter().skip_while(|p| p.pid != me());
+            later.skip(1).any(|p| p.stage == Stage::Serving && runs(p.pid))
+        })
+    }
+}
+
+fn answer(changes: Vec<Change>, yes: bool) {
+    for change in changes {
+        let _ = change.done.send(yes); // a caller that has left needs no answer
     }
 }
 
