What the other process wrote in the handover stays news after an own change

Symptom: an order told to one process within 100 ms of one told to the other is not followed by the latter. Evidence: a test in which one process notes a drain and the other a ban before it looks: it never hears of the drain. Cause: handover.rs, Handover::replace took the file that it had just written for read, with all that the other process had put into it since the last look. Ruled out: the file itself; it held both changes. Change: a file that was not read before the own change is read at the next look.

--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -182,6 +182,8 @@
     }
 
     fn replace(&self, change: impl FnOnce(&mut State)) -> io::Result<()> {
+        // What the other process has written and this one not yet read stays news.
+        let read = self.mark() == self.seen.get();
         let mut state = self.load().unwrap_or_default();
         state.version = VERSION;
         state.processes.retain(|p| p.pid != me() && runs(p.pid) || p.pid == me());
@@ -193,7 +195,7 @@
         let fresh = self.file.with_extension("new");
         std::fs::write(&fresh, serde_json::to_vec(&state)?)?;
         std::fs::rename(&fresh, &self.file)?;
-        self.seen.set(self.mark());
+        self.seen.set(if read { self.mark() } else { None });
         self.judge(&state);
         Ok(())
     }
@@ -323,6 +325,19 @@
         std::fs::remove_dir_all(folder).expect("it is there");
     }
 
+    #[test]
+    fn what_the_other_process_wrote_is_news_after_an_own_change_too() {
+        let folder = folder("news");
+        let (first, _) = Handover::open(&folder, "n0").expect("a folder");
+        let (second, _) = Handover::open(&folder, "n0").expect("a folder");
+        assert!(second.news().is_none(), "its own word");
+        first.update(|s| s.drained = true).expect("a file");
+        second.update(|s| s.bans.push(1)).expect("a file");
+        assert!(second.news().expect("the drain").drained);
+        assert!(second.news().is_none(), "once");
+        std::fs::remove_dir_all(folder).expect("it is there");
+    }
+
     #[test]
     fn processes_that_have_ended_are_no_twins() {
         let folder = folder("ended");
