Lab: how near cold backends come to being pushed over by the sum of all proxies

Symptom: the lab told only whether a cold backend fell by its true capacity, not how near it came, nor which proxies had been told of the start. Change: every window of the fall's span that ends at a request to a cold backend is held against N + 2√N + 2, N by the settings' least capacity (warming evenly) and by the true one; requests of told proxies alone and all. Command `cold`: tables by proxies, lost messages (with 1 the proxies may tell nothing) and part of the proxies killed as word comes. A baseline that picks at random is blamed. Not built: upgrades with two processes (a test of the core has them); warming by requests.

--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -50,7 +50,8 @@
     }
 }
 
-fn median(mut all: Vec<f64>) -> f64 {
+/// The middle one, or the mean of the two in the middle.
+pub fn median(mut all: Vec<f64>) -> f64 {
     all.sort_by(f64::total_cmp);
     let n = all.len();
     if n % 2 == 1 { all[n / 2] } else { (all[n / 2 - 1] + all[n / 2]) / 2.0 }
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -218,8 +218,7 @@
         self.works.clone_from(&works);
         let cvs: Vec<f64> = s.classes.iter().map(|c| draw.from(c.cv)).collect();
         let shares: f64 = s.classes.iter().map(|c| c.share).sum();
-        let mean_work: f64 = s.classes.iter().zip(&works).map(|(c, w)| c.share * w).sum::<f64>() / shares;
-        let rate = load * self.capacity / mean_work; // a ms
+        let rate = load * self.capacity / self.mean_work(); // a ms
         let tenants: f64 = s.tenants.iter().map(|t| t.share).sum();
         let allowance = |t: &crate::scenario::TenantOf, draw: &mut Draw| {
             rate * 1000.0 * t.share / tenants.max(1e-9) * draw.from(t.allowance)
@@ -265,6 +264,13 @@
         }
     }
 
+    /// Mean work of a request in ms.
+    pub fn mean_work(&self) -> f64 {
+        let classes = || self.scenario.classes.iter().zip(&self.works);
+        let shares: f64 = classes().map(|(c, _)| c.share).sum();
+        classes().map(|(c, w)| c.share * w).sum::<f64>() / shares
+    }
+
     /// Whether a class may run again.
     pub fn effect(&self, class: usize) -> EffectOf {
         self.scenario.classes[class].effect
--- a/crates/lab/src/ledger.rs
+++ b/crates/lab/src/ledger.rs
@@ -4,6 +4,7 @@
 
 use serde::Serialize;
 
+use crate::cold::Measure;
 use crate::day::Day;
 
 /// Why a request earned nothing, or that it earned its worth.
@@ -102,6 +103,8 @@
     pub entries: Vec<Entry>,
     /// Sums.
     pub sums: Sums,
+    /// How near cold backends came to being pushed over.
+    pub cold: Measure,
     /// Broken rules.
     pub broken: Vec<Broken>,
 }
@@ -135,6 +138,8 @@
     pub requests: usize,
     /// Sums.
     pub sums: Sums,
+    /// How near cold backends came to being pushed over.
+    pub cold: Measure,
     /// How many rules were broken, and the first few.
     pub broken_rules: usize,
     /// See there.
@@ -239,6 +244,7 @@
             by,
             requests: day.requests.len(),
             sums: self.sums.clone(),
+            cold: self.cold,
             broken_rules: self.broken.len(),
             broken: self.broken.iter().take(20).cloned().collect(),
         }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! as in service. What the model assumes and leaves out stands in `docs/lab.md`.
 
 pub mod backend;
+pub mod cold;
 pub mod compare;
 pub mod day;
 pub mod decide;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,7 +6,10 @@
 use clap::{Args, Parser, Subcommand};
 use comfy_table::Table;
 use indicatif::{ProgressBar, ProgressStyle};
-use leadrelay_lab::compare::Difference;
+use leadrelay_lab::cold::Worst;
+use leadrelay_lab::compare::{Difference, median};
+use leadrelay_lab::draw::Range;
+use leadrelay_lab::scenario::FaultKind;
 use leadrelay_lab::{Day, Pick, Result, Scenario, Version, play};
 use rayon::prelude::*;
 
@@ -32,6 +35,46 @@
     Baselines(Run),
     /// Hold two versions against each other on the same days
     Compare(Compare),
+    /// Tell how near cold backends come to being pushed over, by proxies, lost messages and restarts
+    Cold(Cold),
+}
+
+#[derive(Debug, Args)]
+struct Cold {
+    /// The scenario, a TOML file
+    scenario: PathBuf,
+    /// Numbers of proxies
+    #[arg(long, value_delimiter = ',', default_values_t = [3, 30, 300], value_parser = clap::value_parser!(u32).range(1..=2000))]
+    proxies: Vec<u32>,
+    /// Parts of the messages between proxies that are lost; with 1 they may tell nothing
+    #[arg(long, value_delimiter = ',', default_values_t = [0.0, 0.1, 0.5], value_parser = part)]
+    lost: Vec<f64>,
+    /// Parts of the proxies that `kill_proxies` strikes
+    #[arg(long, value_delimiter = ',', default_values_t = [0.0, 0.3, 1.0], value_parser = part)]
+    restarted: Vec<f64>,
+    /// The first seed
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How many days a cell, each by the next seed
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1000))]
+    seeds: u64,
+    /// Who decides: `core`, a baseline's name, or the path of another build's adapter
+    #[arg(long, default_value = "core", value_parser = version)]
+    by: Version,
+    /// Cut the day to so many seconds
+    #[arg(long, value_parser = positive)]
+    seconds: Option<f64>,
+    /// So many backends in place of the scenario's
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=2000))]
+    backends: Option<u32>,
+    /// Cells as JSON, one a line
+    #[arg(long)]
+    json: bool,
+}
+
+fn part(text: &str) -> std::result::Result<f64, String> {
+    let number = text.parse::<f64>().ok().filter(|x| (0.0..=1.0).contains(x));
+    number.ok_or_else(|| "this is no part from 0 to 1".into())
 }
 
 #[derive(Debug, Args)]
@@ -109,8 +152,14 @@
 }
 
 fn days(run: &Run, scenario: &Scenario, version: &Version) -> std::result::Result<Vec<Result>, String> {
-    let seeds: Vec<u64> = (run.seed..run.seed + run.seeds).collect();
-    let bar = ProgressBar::new(run.seeds).with_message(version.name());
+    played(run.seed, run.seeds, scenario, version)
+}
+
+fn played(
+    seed: u64, seeds: u64, scenario: &Scenario, version: &Version,
+) -> std::result::Result<Vec<Result>, String> {
+    let bar = ProgressBar::new(seeds).with_message(version.name());
+    let seeds: Vec<u64> = (seed..seed + seeds).collect();
     if let Ok(style) = ProgressStyle::with_template("{msg} {bar:30} {pos}/{len} days") {
         bar.set_style(style);
     }
@@ -267,11 +316,136 @@
     Ok(true)
 }
 
+/// A cell of the table of cold backends, over its days.
+#[derive(serde::Serialize)]
+struct Cell {
+    proxies: usize,
+    lost: f64,
+    restarted: f64,
+    days: usize,
+    starts: usize,
+    windows: usize,
+    /// The worst day's ratio, the middle one's, and windows over, all days: from proxies told of the start and from all,
+    /// by the settings' capacity and by the true one.
+    told_by_settings: Ratios,
+    told_by_truth: Ratios,
+    all_by_settings: Ratios,
+    all_by_truth: Ratios,
+    blamed: usize,
+    rules_broken: usize,
+    served: f64,
+}
+
+#[derive(serde::Serialize)]
+struct Ratios {
+    worst: f64,
+    median: f64,
+    over: usize,
+}
+
+impl Ratios {
+    fn of(results: &[Result], worst: impl Fn(&Result) -> Worst) -> Self {
+        let ratios: Vec<f64> = results.iter().map(|r| worst(r).ratio).collect();
+        let over = results.iter().map(|r| worst(r).over).sum();
+        Ratios { worst: ratios.iter().copied().fold(0.0, f64::max), median: median(ratios), over }
+    }
+}
+
+impl std::fmt::Display for Ratios {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:.2} {:.2} {}", self.worst, self.median, self.over)
+    }
+}
+
+impl Cell {
+    fn of(scenario: &Scenario, restarted: f64, results: &[Result]) -> Self {
+        let sum = |f: &dyn Fn(&Result) -> usize| results.iter().map(f).sum();
+        Cell {
+            proxies: scenario.proxies,
+            lost: scenario.network.peer_loss,
+            restarted,
+            days: results.len(),
+            starts: sum(&|r| r.cold.starts),
+            windows: sum(&|r| r.cold.windows),
+            told_by_settings: Ratios::of(results, |r| r.cold.told.settings),
+            told_by_truth: Ratios::of(results, |r| r.cold.told.truth),
+            all_by_settings: Ratios::of(results, |r| r.cold.all.settings),
+            all_by_truth: Ratios::of(results, |r| r.cold.all.truth),
+            blamed: sum(&|r| r.cold.blamed),
+            rules_broken: sum(&|r| r.broken_rules),
+            served: results.iter().map(|r| r.served).sum::<f64>() / results.len().max(1) as f64,
+        }
+    }
+}
+
+fn cold(options: &Cold) -> std::result::Result<bool, String> {
+    let mut scenario = Scenario::read(&options.scenario).map_err(|e| e.to_string())?;
+    scenario.seconds = options.seconds.map_or(scenario.seconds, |s| scenario.seconds.min(s));
+    scenario.backends = options.backends.map_or(scenario.backends, |n| n as usize);
+    let mut shown = table(&[
+        "proxies",
+        "lost",
+        "restarted",
+        "starts",
+        "told, settings",
+        "told, truth",
+        "all, settings",
+        "all, truth",
+        "to blame",
+        "rules broken",
+        "served",
+    ]);
+    let mut blameless = true;
+    for &proxies in &options.proxies {
+        for &lost in &options.lost {
+            for &restarted in &options.restarted {
+                (scenario.proxies, scenario.network.peer_loss) = (proxies as usize, lost);
+                for fault in scenario.faults.iter_mut().filter(|f| f.kind == FaultKind::KillProxies) {
+                    fault.part = Range::One(restarted);
+                }
+                let cell = Cell::of(
+                    &scenario,
+                    restarted,
+                    &played(options.seed, options.seeds, &scenario, &options.by)?,
+                );
+                blameless &= cell.blamed == 0;
+                if options.json {
+                    println!("{}", serde_json::to_string(&cell).map_err(|e| e.to_string())?);
+                }
+                shown.add_row([
+                    proxies.to_string(),
+                    format!("{:.0}%", 100.0 * lost),
+                    format!("{:.0}%", 100.0 * restarted),
+                    cell.starts.to_string(),
+                    cell.told_by_settings.to_string(),
+                    cell.told_by_truth.to_string(),
+                    cell.all_by_settings.to_string(),
+                    cell.all_by_truth.to_string(),
+                    cell.blamed.to_string(),
+                    cell.rules_broken.to_string(),
+                    format!("{:.4}", cell.served),
+                ]);
+            }
+        }
+    }
+    if !options.json {
+        println!(
+            "{} by {}, {} days a cell from seed {}: requests over N + 2√N + 2, as worst day, median day, windows over\n{shown}",
+            scenario.name,
+            options.by.name(),
+            options.seeds,
+            options.seed
+        );
+    }
+    Ok(blameless)
+}
+
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
         Command::Run(options) => run(&options),
         Command::Baselines(options) => baselines(&options),
         Command::Compare(options) => compare(&options),
+        Command::Cold(options) => cold(&options),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/lab/src/wire.rs
+++ b/crates/lab/src/wire.rs
@@ -125,7 +125,7 @@
             "flavors": kinds, "accounts": accounts, "overShareWorth": s.over_share_worth, "worthBy": "request",
             "classes": s.classes.iter().map(class).collect::<Vec<_>>(), "discovery": "on_request",
             "weightSource": "rough", "extra": {"warmKeys": true}, "prices": {"crossZone": s.prices.cross_zone},
-            "ceilings": {"mayTell": true, "maxAttempts": 5},
+            "ceilings": {"mayTell": s.network.peer_loss < 1.0, "maxAttempts": 5},
             "rules": {"startCapacity": s.cold.start, "cold": s.cold.span_s * 1000.0, "fallMultiple": s.cold.multiple,
                       "fall": s.cold.fall_s * 1000.0},
         });
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -16,6 +16,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::backend::{At, AttemptNo, Backend, Taken};
+use crate::cold::Watch;
 use crate::day::{Day, Fault};
 use crate::decide::{Baseline, Decide, Pick, Truth};
 use crate::draw::Draw;
@@ -121,6 +122,8 @@
     work: f64,
     over: bool,
     may_have_run: bool,
+    /// Its proxy had been told of the backend's start.
+    told: bool,
     /// What it met, once that is known.
     met: Option<End>,
 }
@@ -140,6 +143,8 @@
     watches: bool,
     list: Rc<[Line]>,
     told: FxHashMap<usize, f64>,
+    /// The last start of each backend that it has been told of.
+    starts: FxHashMap<usize, f64>,
 }
 
 /// Where a request is.
@@ -177,6 +182,7 @@
     truth: Truth,
     late: Truth,
     ledger: Ledger,
+    cold: Watch,
     actions: Vec<Action>,
 }
 
@@ -228,6 +234,7 @@
             watches: false,
             list: shared.clone(),
             told: FxHashMap::default(),
+            starts: FxHashMap::default(),
         };
         let proxies = day.proxies.iter().enumerate().map(proxy).collect();
         let mut world = World {
@@ -256,6 +263,7 @@
             truth: Truth::default(),
             late: Truth::default(),
             ledger: Ledger::default(),
+            cold: Watch::default(),
             actions: Vec::new(),
         };
         world.look();
@@ -291,6 +299,7 @@
         }
         let cores: f64 = self.day.machines.iter().map(|m| m.cores).sum();
         self.ledger.sums.busy = self.backends.iter().map(|b| b.busy).sum::<f64>() / (cores * self.day.length);
+        self.ledger.cold = self.cold.measure();
         // Whoever has no end yet waits for an answer that did not come in all this time.
         for request in 0..self.progress.len() {
             if !self.progress[request].over {
@@ -590,9 +599,17 @@
     /// A proxy that has just started gets its list as last seen.
     fn greet(&mut self, p: usize) {
         let entries = self.proxies[p].list.to_vec();
+        self.proxies[p].starts.clear();
+        self.note_starts(p, &entries);
         self.tell(p, Event::List { scope: Scope::Cached, entries });
     }
 
+    /// Notes of which starts a proxy has been told.
+    fn note_starts(&mut self, p: usize, lines: &[Line]) {
+        let starts = lines.iter().filter_map(|l| Some((l.id.0 as usize, l.since?)));
+        self.proxies[p].starts.extend(starts);
+    }
+
     /// Gives a proxy an event and carries out what it decides.
     fn tell(&mut self, p: usize, event: Event) {
         self.ledger.sums.events += 1;
@@ -653,6 +670,7 @@
         let number = self.tries[t].attempts.len() as u32;
         let (life, work) = (self.proxies[p].life, self.day.requests[request].work);
         let (over, may_have_run, met) = (false, true, None);
+        let told = self.proxies[p].starts.get(&b) == Some(&self.backends[b].born);
         self.attempts.push(Attempt {
             of: t,
             number,
@@ -662,6 +680,7 @@
             work,
             over,
             may_have_run,
+            told,
             met,
         });
         self.tries[t].attempts.push(attempt);
@@ -884,6 +903,7 @@
         if scope == Scope::Failed {
             proxy.watches = false;
         }
+        self.note_starts(p, lines);
         self.tell(p, Event::List { scope, entries: lines.to_vec() });
     }
 
@@ -918,7 +938,7 @@
 
     fn at_backend(&mut self, attempt: AttemptNo) {
         let a = &self.attempts[attempt];
-        let (t, b, work) = (a.of, a.backend, a.work);
+        let (t, b, work, told) = (a.of, a.backend, a.work, a.told);
         let p = self.tries[t].proxy;
         let way = self.way_to(p, b);
         if self.is_cut(self.proxies[p].zone, self.backends[b].machine.zone) {
@@ -927,6 +947,9 @@
         // By the mean work of its class: what one request draws no proxy can know, and the rule leaves slack for it.
         let class = self.day.requests[self.tries[t].request].class;
         let (cold, mean) = (&self.day.scenario.cold, self.day.works[class]);
+        if self.backends[b].up {
+            self.cold.note(self.now, self.day, b, &self.backends[b], class, told);
+        }
         if self.backends[b].up
             && self.backends[b].strains(self.now, mean, cold.multiple, cold.fall_s * 1000.0)
         {
@@ -1146,7 +1169,7 @@
         discovery: Discovery::OnRequest,
         rating: Rating::Size,
         warm_keys: true,
-        may_tell: true,
+        may_tell: s.network.peer_loss < 1.0,
         prices: Prices { cross_zone: s.prices.cross_zone },
         limits: Limits {
             start_capacity: s.cold.start,
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -44,6 +44,28 @@
     assert!(other["low"].as_f64() > Some(0.0), "{other}");
 }
 
+#[test]
+fn cold_backends_stay_within_what_they_bear_whatever_is_lost_and_restarted() {
+    let run =
+        lab(&["cold", "cold.toml", "--proxies", "3,20", "--lost", "0,1", "--restarted", "0,1", "--json"]);
+    assert_eq!(run.status.code(), Some(0), "{}", text(&run.stderr));
+    let cells: Vec<serde_json::Value> =
+        text(&run.stdout).lines().map(|l| serde_json::from_str(l).expect("JSON")).collect();
+    assert_eq!(cells.len(), 8);
+    for cell in cells {
+        assert!(cell["starts"].as_u64() > Some(20) && cell["windows"].as_u64() > Some(200), "{cell}");
+        assert!(cell["told_by_settings"]["worst"].as_f64() < Some(0.9), "{cell}");
+        assert_eq!((&cell["blamed"], &cell["told_by_truth"]["over"]), (&0.into(), &0.into()), "{cell}");
+    }
+}
+
+#[test]
+fn who_knows_no_cold_backend_is_seen_to_push_it_over() {
+    let run =
+        lab(&["cold", "cold.toml", "--proxies", "20", "--lost", "0", "--restarted", "0", "--by", "random"]);
+    assert_eq!(run.status.code(), Some(1), "{}", text(&run.stdout));
+}
+
 #[test]
 fn what_can_not_be_used_is_one_line_and_exit_code_2() {
     for (args, word) in [
@@ -52,6 +74,11 @@
         (&["run", "headend.toml", "--seeds", "0"], "--seeds"),
         (&["run", "headend.toml", "--seconds=-1"], "--seconds"),
         (&["run", "headend.toml", "--proxies", "9999"], "--proxies"),
+        (&["cold", "nowhere.toml"], "nowhere.toml: "),
+        (&["cold", "cold.toml", "--lost", "0,1.5"], "--lost"),
+        (&["cold", "cold.toml", "--restarted", "all"], "--restarted"),
+        (&["cold", "cold.toml", "--proxies", "3,0"], "--proxies"),
+        (&["cold", "cold.toml", "--by", "no/such/adapter"], "nor the path of an adapter"),
         (&["play"], "play"),
     ] {
         let run = lab(args);
