Sends saved up for a cold server lapse where together they could push it over

Cause: cold.rs, `budget`: each proxy keeps a whole send (`.max(1.0)`) for as long as nobody draws it, so that up to one each goes out at once, beside what is given meanwhile. Ruled out: restarts. A random part anew does not raise the mean of what is given; cells with all proxies restarted are not above the others. At 9 s and 3 s all that is ever given stays under N, so nothing lapses there. Change: once all that was given since the start exceeds the present budget, a proxy keeps a send no longer than a fall's span, unless the next one comes within that. Twice half of the budget at most: N. The tests of restarts, of two processes and of three proxies are green before and after; they guard.

--- a/crates/core/src/policy/cold.rs
+++ b/crates/core/src/policy/cold.rs
@@ -9,16 +9,21 @@
 impl Balancer {
     /// Fills the budget of a server that is still cold.
     pub(crate) fn budget(&mut self, k: usize, warmth: f64, now: Millis) {
-        let part = self.part();
+        let (part, l) = (self.part(), self.cfg.limits);
         let s = &mut self.servers[k];
         if s.fresh && warmth < 1.0 {
             // An equal part of what its like can do, cut to what it surely can: so it stands in any case.
             let kind = &self.kinds[s.kind]; // by its calm latency: waits in a crowd are not work
             let capacity = s.room / FULLNESS / kind.core.min(self.mean * kind.slow.0.max(0.2));
-            let rate = COLD_SHARE * self.cfg.limits.fall_multiple * warmth * capacity
-                / f64::from(self.cfg.proxies)
-                * part;
+            let rate = COLD_SHARE * l.fall_multiple * warmth * capacity / f64::from(self.cfg.proxies) * part;
+            s.whole_at = if s.tokens < 1.0 { now } else { s.whole_at };
             s.tokens = (s.tokens + rate * (now - s.tokens_at)).min((rate * 300.0).max(1.0));
+            // Saved up by many proxies, a send each would be too much once a burst draws them all. Where all that
+            // was given since the start could push it over, none keeps a send for longer than the span of a fall.
+            let age = s.info.since.map_or(0.0, |since| now - since);
+            let given = COLD_SHARE * age * (l.start_capacity + warmth) / 2.0; // it warms evenly
+            let hoarded = given > warmth * l.fall && rate * l.fall < 1.0 && now - s.whole_at > l.fall;
+            s.tokens -= if hoarded { 1.0 } else { 0.0 };
             s.tokens_at = now;
         }
     }
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -37,6 +37,7 @@
     pub fresh: bool,           // seen within its cold span: budgeted
     pub tokens: f64,           // sends that a cold server's budget still allows
     pub tokens_at: Millis,
+    pub whole_at: Millis,          // when they last came to be enough for a send
     pub kind: usize,               // its kind of machine; 0 if none is told
     pub room: f64,                 // slots for all proxies together
     pub mine: f64,                 // those of them that are this proxy's own
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -69,7 +69,11 @@
 
 impl Hand {
     pub fn new(settings: Settings, servers: Vec<Backend>) -> Self {
-        let mut hand = Hand { balancer: Balancer::new(settings, 7), now: 1000.0, timers: vec![] };
+        Hand::seeded(settings, servers, 7)
+    }
+
+    pub fn seeded(settings: Settings, servers: Vec<Backend>, seed: u64) -> Self {
+        let mut hand = Hand { balancer: Balancer::new(settings, seed), now: 1000.0, timers: vec![] };
         hand.give(full(servers));
         hand
     }
