--- /dev/null
+++ b/crates/lab/src/commands/mod.rs
@@ -0,0 +1,3 @@
+//! Subcommands with files of their own.
+
+pub mod reconnect;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,13 +1,17 @@
 //! The lab's command line.
 
+mod commands;
+
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand};
 use comfy_table::Table;
 use indicatif::{ProgressBar, ProgressStyle};
-use leadrelay_lab::compare::Difference;
-use leadrelay_lab::reconnect::{Outcome, Storm};
+use leadrelay_lab::cold::Worst;
+use leadrelay_lab::compare::{Difference, median};
+use leadrelay_lab::draw::Range;
+use leadrelay_lab::scenario::FaultKind;
 use leadrelay_lab::{Day, Pick, Result, Scenario, Version, play};
 use rayon::prelude::*;
 
@@ -34,41 +38,49 @@
     /// Hold two versions against each other on the same days
     Compare(Compare),
     /// Break all watches of fleets at once, and see when every proxy has its list again
-    Reconnect(Reconnect),
+    Reconnect(commands::reconnect::Reconnect),
+    /// Tell how near cold backends come to being pushed over, by proxies, lost messages and restarts
+    Cold(Cold),
 }
 
 #[derive(Debug, Args)]
-struct Reconnect {
-    /// Fleets, by their proxies
-    #[arg(long, value_delimiter = ',', default_values_t = [30, 300, 1000],
-        value_parser = clap::value_parser!(u32).range(1..=10_000))]
+struct Cold {
+    /// The scenario, a TOML file
+    scenario: PathBuf,
+    /// Numbers of proxies
+    #[arg(long, value_delimiter = ',', default_values_t = [3, 30, 300], value_parser = clap::value_parser!(u32).range(1..=2000))]
     proxies: Vec<u32>,
-    /// Calls a second that discovery answers for each proxy of the fleet
-    #[arg(long, default_value_t = 0.25, value_parser = positive)]
-    calls_per_s: f64,
-    /// A call that would wait longer is refused, in ms
-    #[arg(long, default_value_t = 2000.0, value_parser = positive)]
-    limit_ms: f64,
-    /// Refusals come when that wait is over, not at once
-    #[arg(long)]
-    late_refusals: bool,
-    /// A proxy gives a call up after this span, in ms
-    #[arg(long, default_value_t = 3000.0, value_parser = positive)]
-    patience_ms: f64,
-    /// For how long the storm is looked at, in ms
-    #[arg(long, default_value_t = 30_000.0, value_parser = positive)]
-    length_ms: f64,
+    /// Parts of the messages between proxies that are lost; with 1 they may tell nothing
+    #[arg(long, value_delimiter = ',', default_values_t = [0.0, 0.1, 0.5], value_parser = part)]
+    lost: Vec<f64>,
+    /// Parts of the proxies that `kill_proxies` strikes
+    #[arg(long, value_delimiter = ',', default_values_t = [0.0, 0.3, 1.0], value_parser = part)]
+    restarted: Vec<f64>,
     /// The first seed
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// How many storms, each by the next seed
-    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..=1000))]
+    /// How many days a cell, each by the next seed
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1000))]
     seeds: u64,
-    /// Results as JSON, one line a storm
+    /// Who decides: `core`, a baseline's name, or the path of another build's adapter
+    #[arg(long, default_value = "core", value_parser = version)]
+    by: Version,
+    /// Cut the day to so many seconds
+    #[arg(long, value_parser = positive)]
+    seconds: Option<f64>,
+    /// So many backends in place of the scenario's
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=2000))]
+    backends: Option<u32>,
+    /// Cells as JSON, one a line
     #[arg(long)]
     json: bool,
 }
 
+fn part(text: &str) -> std::result::Result<f64, String> {
+    let number = text.parse::<f64>().ok().filter(|x| (0.0..=1.0).contains(x));
+    number.ok_or_else(|| "this is no part from 0 to 1".into())
+}
+
 #[derive(Debug, Args)]
 struct Compare {
     /// The one: `core`, a baseline's name, or the path of another build's adapter
@@ -144,8 +156,14 @@
 }
 
 fn days(run: &Run, scenario: &Scenario, version: &Version) -> std::result::Result<Vec<Result>, String> {
-    let seeds: Vec<u64> = (run.seed..run.seed + run.seeds).collect();
-    let bar = ProgressBar::new(run.seeds).with_message(version.name());
+    played(run.seed, run.seeds, scenario, version)
+}
+
+fn played(
+    seed: u64, seeds: u64, scenario: &Scenario, version: &Version,
+) -> std::result::Result<Vec<Result>, String> {
+    let bar = ProgressBar::new(seeds).with_message(version.name());
+    let seeds: Vec<u64> = (seed..seed + seeds).collect();
     if let Ok(style) = ProgressStyle::with_template("{msg} {bar:30} {pos}/{len} days") {
         bar.set_style(style);
     }
@@ -302,63 +320,128 @@
     Ok(true)
 }
 
-fn reconnect(options: &Reconnect) -> std::result::Result<bool, String> {
+/// A cell of the table of cold backends, over its days.
+#[derive(serde::Serialize)]
+struct Cell {
+    proxies: usize,
+    lost: f64,
+    restarted: f64,
+    days: usize,
+    starts: usize,
+    windows: usize,
+    /// The worst day's ratio, the middle one's, and windows over, all days: from proxies told of the start and from all,
+    /// by the settings' capacity and by the true one.
+    told_by_settings: Ratios,
+    told_by_truth: Ratios,
+    all_by_settings: Ratios,
+    all_by_truth: Ratios,
+    blamed: usize,
+    rules_broken: usize,
+    served: f64,
+}
+
+#[derive(serde::Serialize)]
+struct Ratios {
+    worst: f64,
+    median: f64,
+    over: usize,
+}
+
+impl Ratios {
+    fn of(results: &[Result], worst: impl Fn(&Result) -> Worst) -> Self {
+        let ratios: Vec<f64> = results.iter().map(|r| worst(r).ratio).collect();
+        let over = results.iter().map(|r| worst(r).over).sum();
+        Ratios { worst: ratios.iter().copied().fold(0.0, f64::max), median: median(ratios), over }
+    }
+}
+
+impl std::fmt::Display for Ratios {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:.2} {:.2} {}", self.worst, self.median, self.over)
+    }
+}
+
+impl Cell {
+    fn of(scenario: &Scenario, restarted: f64, results: &[Result]) -> Self {
+        let sum = |f: &dyn Fn(&Result) -> usize| results.iter().map(f).sum();
+        Cell {
+            proxies: scenario.proxies,
+            lost: scenario.network.peer_loss,
+            restarted,
+            days: results.len(),
+            starts: sum(&|r| r.cold.starts),
+            windows: sum(&|r| r.cold.windows),
+            told_by_settings: Ratios::of(results, |r| r.cold.told.settings),
+            told_by_truth: Ratios::of(results, |r| r.cold.told.truth),
+            all_by_settings: Ratios::of(results, |r| r.cold.all.settings),
+            all_by_truth: Ratios::of(results, |r| r.cold.all.truth),
+            blamed: sum(&|r| r.cold.blamed),
+            rules_broken: sum(&|r| r.broken_rules),
+            served: results.iter().map(|r| r.served).sum::<f64>() / results.len().max(1) as f64,
+        }
+    }
+}
+
+fn cold(options: &Cold) -> std::result::Result<bool, String> {
+    let mut scenario = Scenario::read(&options.scenario).map_err(|e| e.to_string())?;
+    scenario.seconds = options.seconds.map_or(scenario.seconds, |s| scenario.seconds.min(s));
+    scenario.backends = options.backends.map_or(scenario.backends, |n| n as usize);
     let mut shown = table(&[
         "proxies",
-        "half listed, s",
-        "last listed, s",
-        "worst of all, s",
-        "without after 6 s",
-        "calls",
-        "refused",
-        "given up",
-        "most calls/s",
+        "lost",
+        "restarted",
+        "starts",
+        "told, settings",
+        "told, truth",
+        "all, settings",
+        "all, truth",
+        "to blame",
+        "rules broken",
+        "served",
     ]);
+    let mut blameless = true;
     for &proxies in &options.proxies {
-        let storm = Storm {
-            proxies,
-            calls_per_s: options.calls_per_s,
-            limit_ms: options.limit_ms,
-            late_refusals: options.late_refusals,
-            patience_ms: options.patience_ms,
-            length_ms: options.length_ms,
-        };
-        let seeds: Vec<u64> = (options.seed..options.seed + options.seeds).collect();
-        let outcomes: Vec<_> =
-            seeds.par_iter().map(|seed| leadrelay_lab::reconnect::play(&storm, *seed)).collect();
-        if options.json {
-            for outcome in &outcomes {
-                println!("{}", serde_json::to_string(outcome).map_err(|e| e.to_string())?);
+        for &lost in &options.lost {
+            for &restarted in &options.restarted {
+                (scenario.proxies, scenario.network.peer_loss) = (proxies as usize, lost);
+                for fault in scenario.faults.iter_mut().filter(|f| f.kind == FaultKind::KillProxies) {
+                    fault.part = Range::One(restarted);
+                }
+                let cell = Cell::of(
+                    &scenario,
+                    restarted,
+                    &played(options.seed, options.seeds, &scenario, &options.by)?,
+                );
+                blameless &= cell.blamed == 0;
+                if options.json {
+                    println!("{}", serde_json::to_string(&cell).map_err(|e| e.to_string())?);
+                }
+                shown.add_row([
+                    proxies.to_string(),
+                    format!("{:.0}%", 100.0 * lost),
+                    format!("{:.0}%", 100.0 * restarted),
+                    cell.starts.to_string(),
+                    cell.told_by_settings.to_string(),
+                    cell.told_by_truth.to_string(),
+                    cell.all_by_settings.to_string(),
+                    cell.all_by_truth.to_string(),
+                    cell.blamed.to_string(),
+                    cell.rules_broken.to_string(),
+                    format!("{:.4}", cell.served),
+                ]);
             }
-            continue;
         }
-        let count = outcomes.len() as f64;
-        // A storm that does not end within the span looked at has no last one.
-        let seconds = |ms: Option<f64>| ms.map_or("never".into(), |ms| format!("{:.1}", ms / 1000.0));
-        let mean = |f: &dyn Fn(&Outcome) -> Option<f64>| {
-            let all: Option<Vec<f64>> = outcomes.iter().map(f).collect();
-            seconds(all.map(|all| all.iter().sum::<f64>() / count))
-        };
-        let worst: Option<Vec<f64>> = outcomes.iter().map(|o| o.last_ms).collect();
-        let of = |f: &dyn Fn(&Outcome) -> usize| {
-            format!("{:.1}", outcomes.iter().map(f).sum::<usize>() as f64 / count)
-        };
-        shown.add_row([
-            proxies.to_string(),
-            mean(&|o| o.half_ms),
-            mean(&|o| o.last_ms),
-            seconds(worst.map(|all| all.into_iter().fold(0.0, f64::max))),
-            of(&|o| o.ignorant),
-            of(&|o| o.calls),
-            of(&|o| o.refused),
-            of(&|o| o.given_up),
-            of(&|o| o.most_calls_per_s),
-        ]);
     }
     if !options.json {
-        println!("{} storms from seed {}, means\n{shown}", options.seeds, options.seed);
+        println!(
+            "{} by {}, {} days a cell from seed {}: requests over N + 2√N + 2, as worst day, median day, windows over\n{shown}",
+            scenario.name,
+            options.by.name(),
+            options.seeds,
+            options.seed
+        );
     }
-    Ok(true)
+    Ok(blameless)
 }
 
 fn main() -> ExitCode {
@@ -366,7 +449,8 @@
         Command::Run(options) => run(&options),
         Command::Baselines(options) => baselines(&options),
         Command::Compare(options) => compare(&options),
-        Command::Reconnect(options) => reconnect(&options),
+        Command::Reconnect(options) => commands::reconnect::run(&options),
+        Command::Cold(options) => cold(&options),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
