--- a/crates/lab/src/reconnect.rs
+++ b/crates/lab/src/reconnect.rs
@@ -76,10 +76,10 @@
         events.push((p, what));
     };
     let mut actions = Vec::new();
-    for p in 0..proxies.len() {
+    for (p, proxy) in proxies.iter_mut().enumerate() {
         // Each believes in a watch until it breaks.
-        proxies[p].handle(0.0, Event::List { scope: Scope::Cached, entries: Vec::new() }, &mut actions);
-        proxies[p].handle(0.0, Event::Timer(0), &mut Vec::new());
+        proxy.handle(0.0, Event::List { scope: Scope::Cached, entries: Vec::new() }, &mut actions);
+        proxy.handle(0.0, Event::Timer(0), &mut Vec::new());
         put(&mut heap, &mut events, 0.0, p, Happens::Failed);
         for action in actions.drain(..) {
             if let Action::Timer { token, at } = action {
