Older news of discovery on one watch is logged as stale again

The line is back; an empty answer of the same version is no stale news and says no such thing any more.

--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -190,8 +190,12 @@
                 }
                 info!(address = %self.address, seq = list.seq, before = seq, "discovery counts its versions anew");
             }
-            Some(seq) if list.seq < seq || list.seq == seq && !list.whole => {
-                self.nothing_new(); // older than what is known, or the same
+            Some(seq) if list.seq < seq => {
+                info!(seq = list.seq, known = seq, "stale news of discovery"); // older than what is known
+                return Ok(());
+            }
+            Some(seq) if list.seq == seq && !list.whole => {
+                self.nothing_new();
                 return Ok(());
             }
             _ => {}
