--- /dev/null
+++ b/crates/proxy/src/upstream/tests.rs
@@ -0,0 +1,197 @@
+//! Attempts on real connections, in an order that the test sets.
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpListener;
+
+use super::*;
+use crate::flow::Pool;
+
+fn started(body: usize) -> (Meter, Rc<Endpoint>, Rc<Cell<Wish>>) {
+    let endpoint = Endpoint::new("127.0.0.1:1".parse().expect("an address"), 0.0);
+    let wish = Rc::new(Cell::new(Wish::Wanted));
+    let meter = Meter::default();
+    meter.start(Gate { endpoint: endpoint.clone(), wish: wish.clone() }, body);
+    (meter, endpoint, wish)
+}
+
+#[test]
+fn a_request_is_complete_with_its_last_byte_however_it_is_cut() {
+    let text = b"POST /x HTTP/1.1\r\nA: b\r\n\r\n\r\n\r\nbody";
+    for cut in 1..text.len() {
+        let (meter, ..) = started(8);
+        meter.wrote(&text[..cut]);
+        assert!(meter.begun.get() && !meter.complete(), "cut at {cut}");
+        meter.wrote(&text[cut..]);
+        assert!(meter.complete(), "cut at {cut}");
+    }
+}
+
+#[test]
+fn the_first_byte_waits_for_an_open_backend_and_a_wanted_request() {
+    let (meter, endpoint, _) = started(0);
+    endpoint.set_open(false);
+    assert!(!meter.admit() && meter.denied.get());
+    for wish in [Wish::Answered, Wish::Left] {
+        let (meter, _, wished) = started(0);
+        wished.set(wish);
+        assert!(!meter.admit());
+    }
+    let (meter, endpoint, _) = started(0);
+    assert!(meter.admit());
+    meter.wrote(b"G");
+    endpoint.set_open(false); // what has begun is finished
+    assert!(meter.admit());
+    assert!(!Meter::default().admit(), "nothing is written between requests");
+}
+
+#[test]
+fn headers_of_one_connection_go_no_further() {
+    let mut headers = HeaderMap::new();
+    for (name, value) in [("connection", "x-own, close"), ("x-own", "1"), ("x-kept", "2"), ("te", "trailers")]
+    {
+        headers.insert(name, HeaderValue::from_static(value));
+    }
+    strip(&mut headers);
+    assert_eq!(headers.len(), 1);
+    assert!(headers.contains_key("x-kept"));
+}
+
+fn upstreams(sockets: usize) -> Rc<Upstreams> {
+    let connections = Connections { dial_timeout: 600_000.0, idle_close: 600_000.0 };
+    let memory = Memory { pieces: Pool::new(1 << 20), ahead: Pool::new(1 << 20) };
+    Rc::new(Upstreams::new(&connections, sockets, false, Arc::default(), memory))
+}
+
+/// Makes an attempt at the listener's address; tells how it ended.
+fn attempted(
+    upstreams: &Rc<Upstreams>, listener: &TcpListener, body: Bytes, wish: &Rc<Cell<Wish>>,
+) -> JoinHandle<Option<Outcome>> {
+    let (upstreams, wish) = (upstreams.clone(), wish.clone());
+    let endpoint = Endpoint::new(listener.local_addr().expect("its own"), 0.0);
+    upstreams.add(&endpoint);
+    let (method, uri, headers) = (Method::POST, Uri::from_static("/x"), HeaderMap::new());
+    let body = Load::Whole { body, _held: None };
+    let message = Rc::new(Outgoing { method, uri, headers, body });
+    tokio::task::spawn_local(async move {
+        let (mut ended, until) = (None, Instant::now() + Duration::from_secs(60));
+        upstreams.attempt(endpoint, wish, message, until, |outcome, _| ended = Some(outcome)).await;
+        ended
+    })
+}
+
+fn played(play: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let all = async { timeout(Duration::from_secs(30), play).await.expect("it ends in time") };
+    tokio::task::LocalSet::new().block_on(&runtime, all);
+}
+
+/// Takes the next connection and reads the head on it.
+async fn next(listener: &TcpListener) -> tokio::net::TcpStream {
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    read_head(&mut stream).await;
+    stream
+}
+
+async fn read_head(stream: &mut tokio::net::TcpStream) {
+    let mut read = Vec::new();
+    while !read.ends_with(BLANK) {
+        assert!(stream.read_buf(&mut read).await.expect("a head") > 0);
+    }
+}
+
+const SERVED: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const AWAY: &[u8] = b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
+
+#[test]
+fn where_backends_hold_too_few_connections_none_stands_idle() {
+    played(async {
+        let upstreams = upstreams(8);
+        let wish = Rc::new(Cell::new(Wish::Wanted));
+        let [kept, full] = [
+            TcpListener::bind("127.0.0.1:0").await.expect("a port"),
+            TcpListener::bind("127.0.0.1:0").await.expect("a port"),
+        ];
+        let first = attempted(&upstreams, &kept, Bytes::new(), &wish);
+        let mut idle = next(&kept).await;
+        idle.write_all(SERVED).await.expect("it reads");
+        assert_eq!(first.await.expect("no panic"), Some(Outcome::Served));
+        let most = upstreams.keep.span();
+        let mut tries = 0;
+        while upstreams.keep.span() > LEAST_KEPT {
+            let attempt = attempted(&upstreams, &full, Bytes::new(), &wish);
+            next(&full).await.write_all(AWAY).await.expect("it reads");
+            assert_eq!(attempt.await.expect("no panic"), Some(Outcome::Full));
+            tries += 1;
+            assert!(tries < 100, "{:?}", upstreams.keep.span());
+        }
+        tokio::time::sleep(LEAST_KEPT).await; // so that it has stood for longer than is now allowed
+        upstreams.retire();
+        assert_eq!(idle.read(&mut [0; 1]).await.expect("an end"), 0);
+        // As new ones are let in, they are kept for longer again.
+        while upstreams.keep.span() < most {
+            let attempt = attempted(&upstreams, &kept, Bytes::new(), &wish);
+            next(&kept).await.write_all(SERVED).await.expect("it reads");
+            assert_eq!(attempt.await.expect("no panic"), Some(Outcome::Served));
+        }
+    });
+}
+
+#[test]
+fn a_full_queue_is_no_lack_of_connections() {
+    let keep = Keep::new(Duration::from_secs(40));
+    for _ in 0..100 {
+        keep.heard(false, true);
+        keep.heard(true, true);
+    }
+    assert_eq!(keep.span(), Duration::from_secs(40));
+}
+
+#[test]
+fn who_waits_for_a_socket_gets_the_next_that_comes_free() {
+    played(async {
+        let upstreams = upstreams(1);
+        let one = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let two = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let wish = Rc::new(Cell::new(Wish::Wanted));
+        let first = attempted(&upstreams, &one, Bytes::new(), &wish);
+        let (mut held, _) = one.accept().await.expect("the first");
+        let second = attempted(&upstreams, &two, Bytes::new(), &wish);
+        while upstreams.waiting.get() == 0 {
+            tokio::task::yield_now().await;
+        }
+        let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        held.write_all(answer).await.expect("it reads");
+        assert_eq!(first.await.expect("no panic"), Some(Outcome::Served));
+        let (mut next, _) = two.accept().await.expect("the second");
+        next.write_all(answer).await.expect("it reads");
+        assert_eq!(second.await.expect("no panic"), Some(Outcome::Served));
+    });
+}
+
+#[test]
+fn the_rest_of_a_half_written_request_is_kept_from_a_backend_once_its_client_has_left() {
+    for (to, whole) in [(Wish::Left, false), (Wish::Answered, true)] {
+        played(async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let wish = Rc::new(Cell::new(Wish::Wanted));
+            let size = 30 << 20; // more than the system takes
+            let attempt = attempted(&upstreams(1), &listener, vec![0; size].into(), &wish);
+            let (mut backend, _) = listener.accept().await.expect("the attempt");
+            let mut buffer = vec![0; 1 << 16];
+            let mut read = backend.read(&mut buffer).await.expect("the head");
+            wish.set(to);
+            let answered = async {
+                while read < size {
+                    match backend.read(&mut buffer).await {
+                        Ok(n) if n > 0 => read += n,
+                        _ => return false,
+                    }
+                }
+                backend.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.is_ok()
+            };
+            assert_eq!(answered.await, whole, "{to:?}: {read} bytes");
+            let outcome = if whole { Outcome::Served } else { Outcome::Moot };
+            assert_eq!(attempt.await.expect("no panic"), Some(outcome));
+        });
+    }
+}
