The first byte waits for a client that is still there by the system's own word

Symptom: a client that left in the moment in which its attempt's connection came up had its request sent on all the same. Evidence: with the proxy stopped, the connection came up, then the client left; on going on the backend got the whole request (two tests of leaving.rs, first and second attempt, failed in their first way). Cause: the gate at the first byte (`Meter::admit`) went by `wish`, which the driver sets when it takes `Gone`. Of two events of one turn the connection's task ran first, the client's and the driver's after the write. Ruled out: module's queue, slot that comes free, pipelined second request, repeat that waits, repeat whose connection comes up, new connection in place of a dead one, wait for a socket, body on its way: new tests passed without the mend. Change: the gate asks the client's connection itself: what the runtime was told, and a peek for an end not yet told. An end behind unread bytes is known only by the runtime. A client that ends its sending alone counts as gone, as before. Tests: `pause` waits until all threads have stopped, a client's leave until the system has brought it to the proxy: under load either came later, and tests failed by that. The test of who waits for a socket answers after the head, not before.

--- a/crates/cli/tests/leaving.rs
+++ b/crates/cli/tests/leaving.rs
@@ -1,7 +1,8 @@
 //! Clients that leave while their request waits: nothing of it goes on, wherever it waited.
 mod sockets;
 
-use std::net::TcpListener;
+use std::io::Read;
+use std::net::{TcpListener, TcpStream};
 
 use sockets::*;
 
@@ -10,26 +11,48 @@
 enum Way {
     Close,
     Reset,
+    /// It ends its sending alone, which counts as a close: the two can't be told apart.
+    EndSending,
     /// With a part of the next request, or with all of it, behind the one that waits.
     CloseBehindPart,
     CloseBehindWhole,
     ResetBehindWhole,
 }
 
-const WAYS: [Way; 5] =
-    [Way::Close, Way::Reset, Way::CloseBehindPart, Way::CloseBehindWhole, Way::ResetBehindWhole];
+const WAYS: [Way; 6] = [
+    Way::Close,
+    Way::Reset,
+    Way::EndSending,
+    Way::CloseBehindPart,
+    Way::CloseBehindWhole,
+    Way::ResetBehindWhole,
+];
 
 impl Way {
-    fn leave(self, mut client: Client) {
+    /// Lets the client leave, until the proxy's system knows of it; what is given back is open still.
+    #[must_use]
+    fn leave(self, client: Client) -> Option<Client> {
+        let (from, to) = client.ends();
+        let open = self.end(client);
+        end_arrived(from, to);
+        open
+    }
+
+    fn end(self, mut client: Client) -> Option<Client> {
         match self {
-            Way::Close | Way::Reset => {}
+            Way::Close | Way::Reset | Way::EndSending => {}
             Way::CloseBehindPart => client.send("GET /pa"),
             Way::CloseBehindWhole | Way::ResetBehindWhole => client.send(&page("r-behind")),
         }
         match self {
+            Way::EndSending => {
+                client.leave();
+                return Some(client);
+            }
             Way::Reset | Way::ResetBehindWhole => client.reset(),
-            _ => drop(client),
+            Way::Close | Way::CloseBehindPart | Way::CloseBehindWhole => drop(client),
         }
+        None
     }
 }
 
@@ -75,15 +98,30 @@
     backend.seen().iter().map(|m| m.id().to_owned()).collect()
 }
 
+/// Takes the connections that fill a listener, then the next one, which comes up by that.
+fn come_up(listener: &TcpListener, fill: &[TcpStream]) -> TcpStream {
+    fill.iter().for_each(|_| drop(listener.accept().expect("one of the fill")));
+    listener.accept().expect("the proxy's").0
+}
+
+/// Reads what comes on a connection until the proxy ends it: nothing.
+fn ends_empty(mut connection: TcpStream, how: impl std::fmt::Debug) {
+    connection.set_read_timeout(Some(LIMIT)).expect("a time-out");
+    let mut bytes = Vec::new();
+    let ended = connection.read_to_end(&mut bytes);
+    assert!(ended.is_ok() && bytes.is_empty(), "{how:?}: {ended:?}, {}", String::from_utf8_lossy(&bytes));
+}
+
 #[test]
 fn in_the_accept_queue() {
     let backend = Backend::new(Deed::Write(ok("")));
     let (_discovery, proxy) = proxy_with(&[host("s-0", backend.address, "up", 0)]);
     proxy.pause();
+    let mut open = Vec::new();
     for (n, way) in WAYS.into_iter().enumerate() {
         let mut client = Client::new(&proxy);
         client.send(&if n % 2 == 0 { page("r-left") } else { submit("r-left", "5", "x") });
-        way.leave(client);
+        open.extend(way.leave(client));
     }
     let mut last = Client::new(&proxy);
     last.send(&page("r-last"));
@@ -104,7 +142,7 @@
         let mut client = Client::new(&proxy);
         client.send(&patient(&page("r-left")));
         pending(&proxy, 13);
-        way.leave(client);
+        let _open = way.leave(client);
         pending(&proxy, 12);
         gate.open();
         held.iter_mut().for_each(|c| assert_eq!(c.answer().expect("an answer").status(), 200));
@@ -122,14 +160,9 @@
         let mut client = Client::new(&proxy);
         client.send(&submit("r-left", "60", "x"));
         pending(&proxy, 1);
-        way.leave(client);
+        let _open = way.leave(client);
         pending(&proxy, 0);
-        full.iter().for_each(|_| drop(slow.accept().expect("one of the fill")));
-        let (connection, _) = slow.accept().expect("the proxy's");
-        connection.set_read_timeout(Some(LIMIT)).expect("a time-out");
-        let mut bytes = Vec::new();
-        let _ = std::io::Read::read_to_end(&mut &connection, &mut bytes);
-        assert!(bytes.is_empty(), "{way:?}: {}", String::from_utf8_lossy(&bytes));
+        ends_empty(come_up(&slow, &full), way);
     }
 }
 
@@ -147,7 +180,7 @@
         wait_for("the first attempt", || first.seen().len() == 1);
         discovery.say(&list(2, false, &[host("s-1", second.address, "up", 0)]));
         wait_for("the second backend", || proxy.figure("/members") == 2);
-        way.leave(client);
+        let _open = way.leave(client);
         pending(&proxy, 0);
         gate.open();
         wait_for("the attempt's end", || proxy.said("attempt failed"));
@@ -170,7 +203,7 @@
         client.send(&head);
         client.send(&"x".repeat(sent));
         pending(&proxy, 13);
-        way.leave(client);
+        let _open = way.leave(client);
         pending(&proxy, 12);
         gate.open();
         held.iter_mut().for_each(|c| assert_eq!(c.answer().expect("an answer").status(), 200));
@@ -189,7 +222,7 @@
         let mut client = Client::new(&proxy);
         client.send(&patient(&page("r-left")));
         pending(&proxy, 1);
-        way.leave(client);
+        let _open = way.leave(client);
         pending(&proxy, 0);
         discovery.say(&list(2, false, &[host("s-1", later.address, "up", 0)]));
         wait_for("the new backend", || {
@@ -198,3 +231,165 @@
         assert!(ids(&later).iter().all(|id| id == "r-last"), "{way:?}");
     }
 }
+
+#[test]
+fn in_the_moment_in_which_its_connection_comes_up() {
+    for way in WAYS {
+        let (slow, full) = full_listener();
+        let (_discovery, proxy) = proxy_with(&[host("s-0", slow.local_addr().expect("its own"), "up", 0)]);
+        let mut client = Client::new(&proxy);
+        client.send(&submit("r-left", "60", "x"));
+        wait_for("its dial", || proxy.dials() == 1);
+        // The proxy finds both at once, and the connection first.
+        proxy.pause();
+        let connection = come_up(&slow, &full);
+        let _open = way.leave(client);
+        proxy.go_on();
+        ends_empty(connection, way);
+    }
+}
+
+#[test]
+fn in_the_moment_in_which_a_slot_comes_free() {
+    for way in WAYS {
+        let gate = Gate::default();
+        let backend = holding(&gate, "r-held");
+        let (_discovery, proxy) = proxy_with(&[host("s-0", backend.address, "up", 0)]);
+        let mut held = filled(&proxy);
+        let mut client = Client::new(&proxy);
+        client.send(&patient(&page("r-left")));
+        pending(&proxy, 13);
+        proxy.pause();
+        let out = backend.seen().len(); // more may be on their way
+        gate.open();
+        wait_for("the answers", || backend.answered() >= out);
+        let _open = way.leave(client);
+        proxy.go_on();
+        held.iter_mut().for_each(|c| assert_eq!(c.answer().expect("an answer").status(), 200));
+        assert_eq!(Client::new(&proxy).ask(&page("r-last")).expect("an answer").status(), 200);
+        let seen = ids(&backend);
+        assert!(seen.len() == 13 && seen.iter().all(|id| id != "r-left"), "{way:?}: {seen:?}");
+    }
+}
+
+#[test]
+fn a_second_request_behind_the_first_as_that_is_answered() {
+    for way in WAYS {
+        let gate = Gate::default();
+        let backend = holding(&gate, "r-held");
+        let (_discovery, proxy) = proxy_with(&[host("s-0", backend.address, "up", 0)]);
+        let mut client = Client::new(&proxy);
+        client.send(&(submit("r-held", "60", "x") + &submit("r-left", "60", "x")));
+        wait_for("the first", || backend.seen().len() == 1);
+        proxy.pause();
+        gate.open();
+        wait_for("its answer", || backend.answered() == 1);
+        let _open = way.leave(client);
+        proxy.go_on();
+        pending(&proxy, 0);
+        assert_eq!(Client::new(&proxy).ask(&page("r-last")).expect("an answer").status(), 200);
+        assert_eq!(ids(&backend), ["r-held", "r-last"], "{way:?}");
+    }
+}
+
+#[test]
+fn while_the_connection_of_its_second_attempt_comes_up() {
+    for (way, at_once) in WAYS.into_iter().flat_map(|way| [(way, false), (way, true)]) {
+        let gate = Gate::default();
+        let busy = Deed::Hold(gate.clone(), empty("503 Busy\r\nX-Not-Processed: 1"));
+        let first = Backend::with(move |_| busy.clone());
+        let (slow, full) = full_listener();
+        let (discovery, proxy) = proxy_with(&[host("s-0", first.address, "up", 0)]);
+        let mut client = Client::new(&proxy);
+        client.send(&submit("r-left", "60", "x"));
+        wait_for("the first attempt", || first.seen().len() == 1);
+        let address = slow.local_addr().expect("its own");
+        discovery.say(&list(2, true, &[host("s-1", address, "up", 0)]));
+        wait_for("the second backend", || proxy.figure("/members") == 1);
+        gate.open();
+        wait_for("the second attempt", || proxy.dials() == 2);
+        let connection = if at_once {
+            proxy.pause();
+            let connection = come_up(&slow, &full);
+            let _open = way.leave(client);
+            proxy.go_on();
+            connection
+        } else {
+            let _open = way.leave(client);
+            pending(&proxy, 0);
+            come_up(&slow, &full)
+        };
+        ends_empty(connection, (way, at_once));
+    }
+}
+
+#[test]
+fn while_a_connection_comes_up_in_place_of_one_that_has_died() {
+    for way in WAYS {
+        let (slow, full) = full_listener();
+        let (_discovery, proxy) = proxy_with(&[host("s-0", slow.local_addr().expect("its own"), "up", 0)]);
+        let mut client = Client::new(&proxy);
+        client.send(&submit("r-first", "60", "x"));
+        let mut pooled = come_up(&slow, &full);
+        assert_eq!(read_message(&mut std::io::BufReader::new(&pooled)).expect("a request").id(), "r-first");
+        std::io::Write::write_all(&mut pooled, ok("").as_bytes()).expect("it reads");
+        assert_eq!(client.answer().expect("an answer").status(), 200);
+        let full = fill(&slow);
+        proxy.pause();
+        client.send(&submit("r-left", "60", "x"));
+        let ends = (pooled.local_addr().expect("its own"), pooled.peer_addr().expect("the proxy's"));
+        drop(pooled);
+        end_arrived(ends.0, ends.1);
+        proxy.go_on();
+        wait_for("the second connection", || proxy.dials() == 2);
+        let _open = way.leave(client);
+        pending(&proxy, 0);
+        ends_empty(come_up(&slow, &full), way);
+    }
+}
+
+#[test]
+fn while_it_waits_to_be_tried_again() {
+    for way in WAYS {
+        let gate = Gate::default();
+        let busy = Deed::Hold(gate.clone(), empty("503 Busy\r\nX-Not-Processed: 1"));
+        let first = Backend::with(move |_| busy.clone());
+        let second = Backend::new(Deed::Write(ok("")));
+        let (discovery, proxy) = proxy_with(&[host("s-0", first.address, "up", 0)]);
+        let mut client = Client::new(&proxy);
+        client.send(&submit("r-left", "60", "x"));
+        wait_for("the first attempt", || first.seen().len() == 1);
+        discovery.say(&list(2, false, &[host("s-0", first.address, "draining", 0)]));
+        wait_for("the list", || proxy.figure("/members") == 1 && first.ended() == 0);
+        gate.open();
+        wait_for("the attempt's end", || proxy.said("attempt failed"));
+        assert_eq!(proxy.figure("/pending"), 1, "it waits");
+        let _open = way.leave(client);
+        pending(&proxy, 0);
+        discovery.say(&list(3, false, &[host("s-1", second.address, "up", 0)]));
+        wait_for("the new backend", || {
+            Client::new(&proxy).ask(&page("r-last")).is_some_and(|answer| answer.status() == 200)
+        });
+        assert!(ids(&second).iter().all(|id| id == "r-last"), "{way:?}");
+    }
+}
+
+#[test]
+fn while_its_body_flows_to_a_backend() {
+    for way in [Way::Close, Way::Reset, Way::EndSending] {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let (_discovery, proxy) =
+            proxy_with(&[host("s-0", listener.local_addr().expect("its own"), "up", 0)]);
+        let mut client = Client::new(&proxy);
+        client.send(&submit("r-left", "60", "").replace("Length: 0", "Length: 9000000"));
+        client.send(&"x".repeat(300_000));
+        let (mut connection, _) = listener.accept().expect("the attempt");
+        connection.set_read_timeout(Some(LIMIT)).expect("a time-out");
+        connection.read_exact(&mut [0; 100_000]).expect("a part of it");
+        let _open = way.leave(client);
+        let mut rest = Vec::new();
+        let _ = connection.read_to_end(&mut rest); // it may end as a reset
+        assert!(rest.len() <= 300_000, "{way:?}: not whole, {} bytes more", rest.len());
+        pending(&proxy, 0);
+    }
+}
--- a/crates/cli/tests/sockets/mod.rs
+++ b/crates/cli/tests/sockets/mod.rs
@@ -134,6 +134,8 @@
     /// Connections that have come, and those of them that have ended.
     pub came: Arc<AtomicUsize>,
     pub ended: Arc<AtomicUsize>,
+    /// Answers that have been written.
+    answered: Arc<AtomicUsize>,
 }
 
 impl Backend {
@@ -144,16 +146,17 @@
     pub fn with(deed: impl Fn(&Message) -> Deed + Send + Sync + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let (seen, came, ended) = (Seen::default(), Arc::default(), Arc::default());
-        let backend = Backend { address, seen, came, ended };
+        let (seen, came, ended, answered) = (Seen::default(), Arc::default(), Arc::default(), Arc::default());
+        let backend = Backend { address, seen, came, ended, answered };
         let (seen, came, ended) = (backend.seen.clone(), backend.came.clone(), backend.ended.clone());
-        let deed = Arc::new(deed);
+        let (answered, deed) = (backend.answered.clone(), Arc::new(deed));
         thread::spawn(move || {
             for stream in listener.incoming() {
                 let (seen, ended, deed) = (seen.clone(), ended.clone(), deed.clone());
+                let answered = answered.clone();
                 came.fetch_add(1, Ordering::SeqCst);
                 thread::spawn(move || {
-                    backend_connection(stream.expect("a connection"), &seen, &*deed);
+                    backend_connection(stream.expect("a connection"), &seen, &answered, &*deed);
                     ended.fetch_add(1, Ordering::SeqCst);
                 });
             }
@@ -168,9 +171,15 @@
     pub fn ended(&self) -> usize {
         self.ended.load(Ordering::SeqCst)
     }
+
+    pub fn answered(&self) -> usize {
+        self.answered.load(Ordering::SeqCst)
+    }
 }
 
-fn backend_connection(stream: TcpStream, seen: &Seen, deed: &dyn Fn(&Message) -> Deed) {
+fn backend_connection(
+    stream: TcpStream, seen: &Seen, answered: &AtomicUsize, deed: &dyn Fn(&Message) -> Deed,
+) {
     let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
     let mut stream = stream;
     while let Some(request) = read_message(&mut reader) {
@@ -196,6 +205,7 @@
         if wrote.is_err() {
             return;
         }
+        answered.fetch_add(1, Ordering::SeqCst);
     }
 }
 
@@ -268,6 +278,20 @@
     format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, hosts.join(","))
 }
 
+/// Waits until the system has brought a connection's end from `from` to the other side, at `to`: on a busy machine that
+/// takes its time even within one machine.
+pub fn end_arrived(from: SocketAddr, to: SocketAddr) {
+    let ports = [to, from].map(|address| format!(":{:04X}", address.port()));
+    wait_for("a connection's end", || {
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("the system's table");
+        !table.lines().any(|line| {
+            let fields: Vec<&str> = line.split_whitespace().take(4).collect();
+            let same = |n: usize, port: &str| fields.get(n).is_some_and(|field| field.ends_with(port));
+            same(1, &ports[0]) && same(2, &ports[1]) && same(3, "01") // established, both ways open
+        })
+    });
+}
+
 /// A listener whose accept queue is full: connections to it don't come up until `accept` has made room.
 pub fn full_listener() -> (TcpListener, Vec<TcpStream>) {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
@@ -275,13 +299,19 @@
     socket.bind(&any.into()).expect("a port");
     socket.listen(0).expect("a queue");
     let listener = TcpListener::from(socket);
+    let fill = fill(&listener);
+    (listener, fill)
+}
+
+/// Connections until no more come up.
+pub fn fill(listener: &TcpListener) -> Vec<TcpStream> {
     let address = listener.local_addr().expect("an address");
     let mut fill = Vec::new();
     while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
         fill.push(stream);
         assert!(fill.len() < 100, "the queue never fills");
     }
-    (listener, fill)
+    fill
 }
 
 /// All backends up, the first version of the list.
@@ -461,6 +491,13 @@
         stats.pointer(path).and_then(|v| v.as_u64()).unwrap_or_else(|| panic!("no {path} in {stats}"))
     }
 
+    /// Connections that it has begun to open to backends.
+    pub fn dials(&self) -> u64 {
+        let text = self.call("GET /metrics").text();
+        let line = text.lines().find_map(|l| l.strip_prefix("leadrelay_backend_dials_total "));
+        line.expect("a line").parse().expect("a number")
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
@@ -471,9 +508,21 @@
         self.signal("-HUP");
     }
 
-    /// Stops the process where it is, until `go_on`.
+    /// Stops the process where it is, until `go_on`. The signal is taken some time after it has been sent, and until
+    /// all threads have stopped the proxy goes on.
     pub fn pause(&self) {
         self.signal("-STOP");
+        wait_for("a stop", || self.states().iter().all(|state| *state == 'T'));
+    }
+
+    /// The states of its threads, as the system names them.
+    fn states(&self) -> Vec<char> {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("the process runs");
+        let state = |task: std::fs::DirEntry| {
+            let text = std::fs::read_to_string(task.path().join("stat")).ok()?;
+            text.rsplit_once(") ")?.1.chars().next()
+        };
+        tasks.filter_map(|task| state(task.ok()?)).collect()
     }
 
     pub fn go_on(&self) {
@@ -580,6 +629,12 @@
         Some((answer.status(), self.is_closed()))
     }
 
+    /// Its end's address and the proxy's.
+    pub fn ends(&self) -> (SocketAddr, SocketAddr) {
+        let stream = self.0.get_ref();
+        (stream.local_addr().expect("a connection"), stream.peer_addr().expect("a connection"))
+    }
+
     /// Resets the connection.
     pub fn reset(self) {
         let socket = socket2::SockRef::from(self.0.get_ref());
--- a/crates/proxy/src/frontend.rs
+++ b/crates/proxy/src/frontend.rs
@@ -5,11 +5,11 @@
 use std::fmt;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -24,6 +24,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, oneshot};
+use tokio::task::unconstrained;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use tracing::{info, warn};
 
@@ -38,7 +39,7 @@
 use crate::open_ids::{OpenId, OpenIds};
 use crate::trail::Trail;
 use crate::upstream::{
-    Load, Outgoing, Upload, Upstreams, Written, end_sending, poll_read, poll_write, strip,
+    Load, Outgoing, Upload, Upstreams, Written, end_sending, has_ended, poll_read, poll_write, strip,
 };
 
 /// Longest head. Large enough for any client of the protocol, small enough for all connections at once.
@@ -533,12 +534,15 @@
             head::introduce(&mut headers, &asked.id, client.from);
         }
         let (answer, answered) = oneshot::channel();
-        let message = Outgoing { method: head.method, uri: head::target(&head.uri), headers, body: load };
+        let stays = Rc::downgrade(client);
+        let left = Box::new(move || stays.upgrade().is_none_or(|client| client.has_left()));
+        let message =
+            Outgoing { method: head.method, uri: head::target(&head.uri), headers, body: load, left };
         let mut taken = self.taken(&asked, came);
         let trail = self.trail(&asked, came);
         taken.follow(trail.clone());
         let Asked { lane, tenant, key, hint, .. } = asked;
-        if client.has_left().await {
+        if client.has_left() {
             return Err(Left);
         }
         self.inbox.put(Input::Request(Box::new(Arrival {
@@ -712,12 +716,11 @@
         }
     }
 
-    async fn has_left(&self) -> bool {
-        tokio::select! {
-            biased;
-            () = self.left() => true,
-            () = std::future::ready(()) => false,
-        }
+    /// Whether that has happened, as far as the system has told or tells when its stream is asked now. An end behind
+    /// unread bytes is known only as it is told.
+    fn has_left(&self) -> bool {
+        let left = pin!(unconstrained(self.left()));
+        left.poll(&mut Context::from_waker(Waker::noop())).is_ready() || has_ended(&self.stream)
     }
 }
 
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -62,6 +62,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Load,
+    /// Whether its client has left, by what the system tells at that moment.
+    pub left: Box<dyn Fn() -> bool>,
 }
 
 /// A request's body.
@@ -164,12 +166,7 @@
     /// Whether a request may be written to it: the backend has neither closed it nor said anything unasked.
     /// The runtime may not have seen its end yet, so the socket itself is asked.
     fn is_alive(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let quiet = match socket2::SockRef::from(&*self.stream).peek(&mut byte) {
-            Err(e) => e.kind() == io::ErrorKind::WouldBlock,
-            Ok(_) => false,
-        };
-        quiet && self.sender.is_ready()
+        peek(&self.stream) == Next::Nothing && self.sender.is_ready()
     }
 }
 
@@ -209,11 +206,20 @@
     Left,
 }
 
-/// The backend must still take work and the request still lack its answer: either may have changed while the
-/// connection came up.
+/// The backend must still take work, the request still lack its answer and its client still be there: each may have
+/// changed while the connection came up.
 struct Gate {
     endpoint: Rc<Endpoint>,
     wish: Rc<Cell<Wish>>,
+    message: Rc<Outgoing>,
+}
+
+impl Gate {
+    /// Whether a request may begin. Of a client that leaves in the moment in which a connection comes up the driver
+    /// may be told only after the first byte: so the client's own connection is asked.
+    fn admits(&self) -> bool {
+        self.endpoint.is_open() && self.wish.get() == Wish::Wanted && !(self.message.left)()
+    }
 }
 
 const BLANK: &[u8] = b"\r\n\r\n";
@@ -270,7 +276,7 @@
     fn admit(&self) -> bool {
         let gate = self.gate.borrow();
         let go = match self.begun.get() {
-            false => gate.as_ref().is_some_and(|g| g.endpoint.is_open() && g.wish.get() == Wish::Wanted),
+            false => gate.as_ref().is_some_and(Gate::admits),
             true => self.complete() || gate.as_ref().is_none_or(|g| g.wish.get() != Wish::Left),
         };
         self.denied.set(!go);
@@ -310,6 +316,29 @@
     _permit: OwnedSemaphorePermit,
 }
 
+/// What comes next on a socket.
+#[derive(PartialEq)]
+enum Next {
+    Nothing,
+    Bytes,
+    End,
+}
+
+/// Asks the system itself, which may know more than the runtime has been told.
+fn peek(stream: &TcpStream) -> Next {
+    match socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+        Ok(0) => Next::End,
+        Ok(_) => Next::Bytes,
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Next::Nothing,
+        Err(_) => Next::End,
+    }
+}
+
+/// Whether the other side has ended a connection, if no unread bytes lie before that.
+pub fn has_ended(stream: &TcpStream) -> bool {
+    peek(stream) == Next::End
+}
+
 /// Reads from a socket that others hold too.
 pub fn poll_read(stream: &TcpStream, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
     loop {
@@ -574,7 +603,7 @@
         let Some((request, length)) = message.request(until, &meter) else {
             return report(Outcome::Moot, None);
         };
-        meter.start(Gate { endpoint: endpoint.clone(), wish }, length);
+        meter.start(Gate { endpoint: endpoint.clone(), wish, message: message.clone() }, length);
         let answer = async {
             tokio::select! {
                 biased;
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -6,11 +6,18 @@
 use super::*;
 use crate::flow::Pool;
 
+fn outgoing(body: Bytes, left: bool) -> Rc<Outgoing> {
+    let (method, uri, headers) = (Method::POST, Uri::from_static("/x"), HeaderMap::new());
+    let body = Load::Whole { body, _held: None };
+    Rc::new(Outgoing { method, uri, headers, body, left: Box::new(move || left) })
+}
+
 fn started(body: usize) -> (Meter, Rc<Endpoint>, Rc<Cell<Wish>>) {
     let endpoint = Endpoint::new("127.0.0.1:1".parse().expect("an address"), 0.0);
     let wish = Rc::new(Cell::new(Wish::Wanted));
     let meter = Meter::default();
-    meter.start(Gate { endpoint: endpoint.clone(), wish: wish.clone() }, body);
+    let message = outgoing(Bytes::new(), false);
+    meter.start(Gate { endpoint: endpoint.clone(), wish: wish.clone(), message }, body);
     (meter, endpoint, wish)
 }
 
@@ -42,6 +49,9 @@
     endpoint.set_open(false); // what has begun is finished
     assert!(meter.admit());
     assert!(!Meter::default().admit(), "nothing is written between requests");
+    let (meter, endpoint, wish) = started(0);
+    meter.start(Gate { endpoint, wish, message: outgoing(Bytes::new(), true) }, 0);
+    assert!(!meter.admit() && meter.denied.get(), "its client has left");
 }
 
 #[test]
@@ -66,12 +76,17 @@
 fn attempted(
     upstreams: &Rc<Upstreams>, listener: &TcpListener, body: Bytes, wish: &Rc<Cell<Wish>>,
 ) -> JoinHandle<Option<Outcome>> {
-    let (upstreams, wish) = (upstreams.clone(), wish.clone());
     let endpoint = Endpoint::new(listener.local_addr().expect("its own"), 0.0);
     upstreams.add(&endpoint);
-    let (method, uri, headers) = (Method::POST, Uri::from_static("/x"), HeaderMap::new());
-    let body = Load::Whole { body, _held: None };
-    let message = Rc::new(Outgoing { method, uri, headers, body });
+    attempted_at(upstreams, &endpoint, body, wish)
+}
+
+/// Makes an attempt at a backend that may have idle connections.
+fn attempted_at(
+    upstreams: &Rc<Upstreams>, endpoint: &Rc<Endpoint>, body: Bytes, wish: &Rc<Cell<Wish>>,
+) -> JoinHandle<Option<Outcome>> {
+    let (upstreams, endpoint, wish) = (upstreams.clone(), endpoint.clone(), wish.clone());
+    let message = outgoing(body, false);
     tokio::task::spawn_local(async move {
         let (mut ended, until) = (None, Instant::now() + Duration::from_secs(60));
         upstreams.attempt(endpoint, wish, message, until, |outcome, _| ended = Some(outcome)).await;
@@ -154,16 +169,15 @@
         let two = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let wish = Rc::new(Cell::new(Wish::Wanted));
         let first = attempted(&upstreams, &one, Bytes::new(), &wish);
-        let (mut held, _) = one.accept().await.expect("the first");
+        let mut held = next(&one).await;
         let second = attempted(&upstreams, &two, Bytes::new(), &wish);
         while upstreams.waiting.get() == 0 {
             tokio::task::yield_now().await;
         }
-        let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-        held.write_all(answer).await.expect("it reads");
+        held.write_all(SERVED).await.expect("it reads");
         assert_eq!(first.await.expect("no panic"), Some(Outcome::Served));
-        let (mut next, _) = two.accept().await.expect("the second");
-        next.write_all(answer).await.expect("it reads");
+        let mut next = next(&two).await;
+        next.write_all(SERVED).await.expect("it reads");
         assert_eq!(second.await.expect("no panic"), Some(Outcome::Served));
     });
 }
@@ -187,7 +201,7 @@
                         _ => return false,
                     }
                 }
-                backend.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.is_ok()
+                backend.write_all(SERVED).await.is_ok()
             };
             assert_eq!(answered.await, whole, "{to:?}: {read} bytes");
             let outcome = if whole { Outcome::Served } else { Outcome::Moot };
@@ -195,3 +209,25 @@
         });
     }
 }
+
+#[test]
+fn a_client_that_leaves_while_its_request_waits_for_a_socket_is_not_sent_on() {
+    played(async {
+        let upstreams = upstreams(1);
+        let one = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let two = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let wishes = [Wish::Wanted, Wish::Wanted].map(|wish| Rc::new(Cell::new(wish)));
+        let first = attempted(&upstreams, &one, Bytes::new(), &wishes[0]);
+        let mut held = next(&one).await;
+        let second = attempted(&upstreams, &two, Bytes::new(), &wishes[1]);
+        while upstreams.waiting.get() == 0 {
+            tokio::task::yield_now().await;
+        }
+        wishes[1].set(Wish::Left);
+        held.write_all(SERVED).await.expect("it reads");
+        assert_eq!(first.await.expect("no panic"), Some(Outcome::Served));
+        assert_eq!(second.await.expect("no panic"), Some(Outcome::Moot));
+        let (mut unused, _) = two.accept().await.expect("it came up all the same");
+        assert_eq!(unused.read(&mut [0; 1]).await.expect("an end"), 0);
+    });
+}
