A backend that has closed or spoken before the first byte gets nothing, and another is dialled

Symptom: an attempt on an idle connection that ended or spoke between being taken and its first byte was written there. Evidence: two tests in upstream/tests.rs, which set the order of the tasks, failed without the mend: on the idle one no new connection came; on a new one, closed at once, the outcome was not `ConnectFailed`. Cause: `is_alive` asks the socket as the connection is taken; hyper's client reads before it writes, but only what the runtime has been told; the write goes out some tasks later. Ruled out: second answers in one write with the first, while idle, or come with the next request: hyper and `is_alive` catch them already (second_answers.rs passed without the mend). Change: the first write peeks at the backend's socket; anything there ends the attempt unwritten. On an idle connection another is taken, unless its body has gone; a new one has failed to connect, which is harmless to repeat.

--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -384,6 +384,10 @@
         if !self.meter.admit() {
             return Poll::Ready(Err(io::ErrorKind::PermissionDenied.into()));
         }
+        // Whatever comes before a request has begun is no answer to it, and an end now is not one after it.
+        if !self.meter.begun.get() && peek(&self.stream) != Next::Nothing {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         let n = std::task::ready!(poll_write(&self.stream, cx, bytes))?;
         self.meter.wrote(&bytes[..n]);
         Poll::Ready(Ok(n))
@@ -592,29 +596,39 @@
         report: impl FnOnce(Outcome, Option<Reply>),
     ) {
         // Whatever goes wrong before the request's last byte is written proves that it never ran.
-        let mut connection = match timeout_at(until, self.connection(&endpoint)).await {
-            Ok(Ok(connection)) => connection,
-            Ok(Err(_)) | Err(_) => return report(Outcome::ConnectFailed, None),
-        };
-        if !endpoint.is_open() || wish.get() != Wish::Wanted {
-            return report(Outcome::Moot, None);
-        }
-        let meter = connection.meter.clone();
-        let Some((request, length)) = message.request(until, &meter) else {
-            return report(Outcome::Moot, None);
-        };
-        meter.start(Gate { endpoint: endpoint.clone(), wish, message: message.clone() }, length);
-        let answer = async {
-            tokio::select! {
-                biased;
-                answer = exchange(&mut connection.sender, request, &meter, self.plain) => answer,
-                () = meter.stalled() => Err("the answer has no end".into()),
+        let (mut connection, answer) = loop {
+            let mut connection = match timeout_at(until, self.connection(&endpoint)).await {
+                Ok(Ok(connection)) => connection,
+                Ok(Err(_)) | Err(_) => return report(Outcome::ConnectFailed, None),
+            };
+            if !endpoint.is_open() || wish.get() != Wish::Wanted {
+                return report(Outcome::Moot, None);
+            }
+            let meter = connection.meter.clone();
+            let Some((request, length)) = message.request(until, &meter) else {
+                return report(Outcome::Moot, None);
+            };
+            let gate = Gate { endpoint: endpoint.clone(), wish: wish.clone(), message: message.clone() };
+            meter.start(gate, length);
+            let answer = async {
+                tokio::select! {
+                    biased;
+                    answer = exchange(&mut connection.sender, request, &meter, self.plain) => answer,
+                    () = meter.stalled() => Err("the answer has no end".into()),
+                }
+            };
+            let answer = match &message.body {
+                Load::Whole { .. } => timeout_at(until, answer).await.map_err(|_| Late),
+                Load::Flow(_) => within(&meter, answer).await,
+            };
+            // An idle connection that has ended or is of no use before anything was written to it costs nothing but
+            // another one.
+            let unused = matches!(answer, Ok(Err(_))) && !meter.begun.get() && !meter.denied.get();
+            if !(unused && !connection.first && !message.is_spent()) {
+                break (connection, answer);
             }
         };
-        let answer = match &message.body {
-            Load::Whole { .. } => timeout_at(until, answer).await.map_err(|_| Late),
-            Load::Flow(_) => within(&meter, answer).await,
-        };
+        let meter = connection.meter.clone();
         match answer {
             Ok(Ok((outcome, reply, keep))) => {
                 let keep = match reply {
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -210,6 +210,75 @@
     }
 }
 
+/// A backend with one idle connection, and its end of that.
+async fn idle_at(
+    upstreams: &Rc<Upstreams>, listener: &TcpListener, wish: &Rc<Cell<Wish>>,
+) -> (Rc<Endpoint>, tokio::net::TcpStream) {
+    let endpoint = Endpoint::new(listener.local_addr().expect("its own"), 0.0);
+    upstreams.add(&endpoint);
+    let attempt = attempted_at(upstreams, &endpoint, Bytes::new(), wish);
+    let mut idle = next(listener).await;
+    idle.write_all(SERVED).await.expect("it reads");
+    assert_eq!(attempt.await.expect("no panic"), Some(Outcome::Served));
+    assert_eq!(endpoint.idle.borrow().len(), 1);
+    (endpoint, idle)
+}
+
+#[test]
+fn an_idle_connection_that_ends_or_speaks_before_a_first_byte_is_written_gives_way_to_a_new_one() {
+    let deeds: [fn(tokio::net::TcpStream) -> Option<tokio::net::TcpStream>; 3] = [
+        |idle| {
+            drop(idle);
+            None
+        },
+        |idle| {
+            idle.try_write(SERVED).expect("room for it");
+            Some(idle)
+        },
+        |idle| {
+            idle.try_write(b"HTT").expect("room for it");
+            Some(idle)
+        },
+    ];
+    for deed in deeds {
+        played(async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let (upstreams, wish) = (upstreams(8), Rc::new(Cell::new(Wish::Wanted)));
+            let (endpoint, idle) = idle_at(&upstreams, &listener, &wish).await;
+            // The attempt has taken the connection before the backend does its deed, and the connection's own task
+            // is to write only after that: tasks run in the order in which they are woken.
+            let attempt = attempted_at(&upstreams, &endpoint, Bytes::new(), &wish);
+            let done = tokio::task::spawn_local({
+                let endpoint = endpoint.clone();
+                async move {
+                    assert!(endpoint.idle.borrow().is_empty(), "it has been taken");
+                    deed(idle)
+                }
+            });
+            let idle = done.await.expect("no panic");
+            let mut new = next(&listener).await;
+            new.write_all(AWAY).await.expect("it reads");
+            assert_eq!(attempt.await.expect("no panic"), Some(Outcome::Full), "the new one's answer");
+            if let Some(mut idle) = idle {
+                assert!(!matches!(idle.read(&mut [0; 1]).await, Ok(1)), "nothing is written to the old one");
+            }
+        });
+    }
+}
+
+#[test]
+fn a_new_connection_that_has_ended_before_a_first_byte_is_written_has_run_nothing() {
+    played(async {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let (upstreams, wish) = (upstreams(8), Rc::new(Cell::new(Wish::Wanted)));
+        let endpoint = Endpoint::new(listener.local_addr().expect("its own"), 0.0);
+        let attempt = attempted_at(&upstreams, &endpoint, Bytes::new(), &wish);
+        tokio::task::yield_now().await; // the attempt dials, and is told only after this that it is through
+        drop(listener.accept().expect("the attempt's"));
+        assert_eq!(attempt.await.expect("no panic"), Some(Outcome::ConnectFailed));
+    });
+}
+
 #[test]
 fn a_client_that_leaves_while_its_request_waits_for_a_socket_is_not_sent_on() {
     played(async {
