A 200 that begins before the request's last byte is written is not its answer

Symptom: a second answer that came while the next request's body still flowed was given to that request's client. Evidence: an_answer_to_a_request_that_is_not_whole_is_none failed without the mend: status 200 with the first's body. Cause: `exchange` took any head. By the operators' protocol a backend begins with the last byte. Change: the meter notes whether the request was whole when an answer's head began; a 200 before that ends the attempt, and a connection with any such answer isn't kept. In the plain dialect early answers stay allowed, as HTTP has them.

--- a/crates/cli/tests/second_answers.rs
+++ b/crates/cli/tests/second_answers.rs
@@ -70,6 +70,27 @@
     }
 }
 
+#[test]
+fn an_answer_to_a_request_that_is_not_whole_is_none() {
+    let backend = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (_discovery, proxy) = proxy_with(&backend, 5000);
+    let mut client = Client::new(&proxy);
+    client.send(&submit("r-1", "5", "x"));
+    let mut old = next(&backend, "r-1");
+    write(&old, &ok("the first"));
+    assert_eq!(client.answer().expect("an answer").text(), "the first");
+    client.send(&submit("r-2", "5", "").replace("Length: 0", "Length: 2000000"));
+    client.send(&"x".repeat(500_000));
+    // The backend has a part of the second request while its client has not sent all.
+    std::io::BufRead::fill_buf(&mut old).expect("first bytes");
+    write(&old, &ok("the first once more"));
+    let answer = client.answer().expect("an answer");
+    assert_ne!(answer.status(), 200, "{}", answer.text());
+    let mut rest = Vec::new();
+    let _ = std::io::Read::read_to_end(&mut old, &mut rest); // it may end as a reset
+    assert!(rest.len() < 2_000_000, "it never becomes whole");
+}
+
 #[test]
 fn a_request_whose_new_connection_is_closed_as_it_comes_up_has_not_run() {
     let (slow, full) = full_listener();
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -190,8 +190,9 @@
     spoilt: Cell<bool>,
     /// Since when a part of an answer has been there without its end.
     partial: Cell<Option<Instant>>,
-    /// When the head began that came last.
+    /// When the head began that came last, and whether the request was not whole then.
     begins: Cell<Option<Instant>>,
+    early: Cell<bool>,
     read: Notify,
 }
 
@@ -256,6 +257,7 @@
         let now = Instant::now();
         if self.partial.replace((!bytes.ends_with(BLANK)).then_some(now)).is_none() {
             self.begins.set(Some(now));
+            self.early.set(!self.complete());
         }
         self.read.notify_one();
     }
@@ -729,6 +731,11 @@
     let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
     let begun = meter.begins.get().unwrap_or_else(Instant::now);
     let (head, body) = answer.into_parts();
+    // By the platform's protocol a request begins with its last byte: what is served before that is an earlier one.
+    let early = meter.early.get() && !plain;
+    if early && head.status == StatusCode::OK {
+        return Err("it has answered what it has not got whole".into());
+    }
     let length = body.size_hint().exact();
     if length.is_some_and(|length| length > MOST) {
         return Err("the answer is too long".into());
@@ -753,10 +760,11 @@
             (Outcome::Served, passed(body), true)
         }
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unseen => {
-            (Outcome::Full, None, matches!(body, Answered::Whole(_)))
+            (Outcome::Full, None, matches!(body, Answered::Whole(_)) && !early)
         }
         status => {
-            let keep = status != StatusCode::SWITCHING_PROTOCOLS && matches!(body, Answered::Whole(_));
+            let whole = matches!(body, Answered::Whole(_));
+            let keep = status != StatusCode::SWITCHING_PROTOCOLS && whole && !early;
             (Outcome::Error, if plain && keep { passed(body) } else { None }, keep)
         }
     })
