A connection just used rests for 20 ms while another is idle

A second answer that comes after the next request has been written whole can't be told from its answer: the protocol has nothing to match. So the last used connection that has rested is taken, or else the one that has rested longest; none is opened for it, so the number of connections stays bounded by what is idle. Open: reuse at once where only one connection is idle, and bytes that come between the last write's peek and the read.

--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -41,6 +41,8 @@
 /// By what each new connection then shortens the span for which connections are kept idle, or else draws it out.
 const SHORTER: f64 = 0.8;
 const LONGER: f64 = 1.05;
+/// A connection is not used again for this span while there is another: a backend that answers twice does so by then.
+const REST: Duration = Duration::from_millis(20);
 /// A connection that would be kept for less is closed at once.
 const LEAST_KEPT: Duration = Duration::from_millis(100);
 /// Spans for which the sweeps, one a second, are exact enough.
@@ -139,6 +141,20 @@
     pub fn is_open(&self) -> bool {
         !self.closed.get() && !self.banned.get()
     }
+
+    fn take_idle(&self) -> Option<Idle> {
+        let mut idle = self.idle.borrow_mut();
+        let choice = choice(idle.iter().map(|idle| idle.since.elapsed()))?;
+        Some(idle.remove(choice))
+    }
+}
+
+/// Which connection to use next of those that have stood idle for so long, the longest first. The one used last is the
+/// least likely to have been closed, but a second answer may still be on its way there: so the last one that has rested,
+/// and if none has, the one that has come nearest to it.
+fn choice(stood: impl DoubleEndedIterator<Item = Duration> + ExactSizeIterator) -> Option<usize> {
+    let some = stood.len() > 0;
+    stood.enumerate().rev().find(|(_, stood)| *stood >= REST).map(|(n, _)| n).or(some.then_some(0))
 }
 
 struct Idle {
@@ -526,8 +542,7 @@
 
     async fn connection(&self, endpoint: &Rc<Endpoint>) -> io::Result<Connection> {
         loop {
-            // The one used last is the least likely to have been closed.
-            let Some(idle) = endpoint.idle.borrow_mut().pop() else { break };
+            let Some(idle) = endpoint.take_idle() else { break };
             if idle.since.elapsed() < self.keep.span() && idle.connection.is_alive() {
                 return Ok(idle.connection);
             }
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -300,3 +300,14 @@
         assert_eq!(unused.read(&mut [0; 1]).await.expect("an end"), 0);
     });
 }
+
+#[test]
+fn the_connection_used_last_rests_while_there_is_another() {
+    let chosen = |stood: &[u64]| choice(stood.iter().map(|ms| Duration::from_millis(*ms)));
+    assert_eq!(chosen(&[]), None);
+    assert_eq!(chosen(&[5]), Some(0));
+    assert_eq!(chosen(&[900, 400, 30]), Some(2));
+    assert_eq!(chosen(&[900, 400, 5]), Some(1));
+    assert_eq!(chosen(&[900, 6, 5]), Some(0));
+    assert_eq!(chosen(&[15, 6, 5]), Some(0));
+}
