--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -41,6 +41,8 @@
 /// By what each new connection then shortens the span for which connections are kept idle, or else draws it out.
 const SHORTER: f64 = 0.8;
 const LONGER: f64 = 1.05;
+/// A connection is not used again for this span while there is another: a backend that answers twice does so by then.
+const REST: Duration = Duration::from_millis(20);
 /// A connection that would be kept for less is closed at once.
 const LEAST_KEPT: Duration = Duration::from_millis(100);
 /// Spans for which the sweeps, one a second, are exact enough.
@@ -62,6 +64,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Load,
+    /// Whether its client has left, by what the system tells at that moment.
+    pub left: Box<dyn Fn() -> bool>,
 }
 
 /// A request's body.
@@ -137,6 +141,20 @@
     pub fn is_open(&self) -> bool {
         !self.closed.get() && !self.banned.get()
     }
+
+    fn take_idle(&self) -> Option<Idle> {
+        let mut idle = self.idle.borrow_mut();
+        let choice = choice(idle.iter().map(|idle| idle.since.elapsed()))?;
+        Some(idle.remove(choice))
+    }
+}
+
+/// Which connection to use next of those that have stood idle for so long, the longest first. The one used last is the
+/// least likely to have been closed, but a second answer may still be on its way there: so the last one that has rested,
+/// and if none has, the one that has come nearest to it.
+fn choice(stood: impl DoubleEndedIterator<Item = Duration> + ExactSizeIterator) -> Option<usize> {
+    let some = stood.len() > 0;
+    stood.enumerate().rev().find(|(_, stood)| *stood >= REST).map(|(n, _)| n).or(some.then_some(0))
 }
 
 struct Idle {
@@ -166,12 +184,7 @@
     /// Whether a request may be written to it: the backend has neither closed it nor said anything unasked.
     /// The runtime may not have seen its end yet, so the socket itself is asked.
     fn is_alive(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let quiet = match socket2::SockRef::from(&*self.stream).peek(&mut byte) {
-            Err(e) => e.kind() == io::ErrorKind::WouldBlock,
-            Ok(_) => false,
-        };
-        quiet && self.sender.is_ready()
+        peek(&self.stream) == Next::Nothing && self.sender.is_ready()
     }
 }
 
@@ -195,8 +208,9 @@
     spoilt: Cell<bool>,
     /// Since when a part of an answer has been there without its end.
     partial: Cell<Option<Instant>>,
-    /// When the head began that came last.
+    /// When the head began that came last, and whether the request was not whole then.
     begins: Cell<Option<Instant>>,
+    early: Cell<bool>,
     read: Notify,
 }
 
@@ -211,11 +225,20 @@
     Left,
 }
 
-/// The backend must still take work and the request still lack its answer: either may have changed while the
-/// connection came up.
+/// The backend must still take work, the request still lack its answer and its client still be there: each may have
+/// changed while the connection came up.
 struct Gate {
     endpoint: Rc<Endpoint>,
     wish: Rc<Cell<Wish>>,
+    message: Rc<Outgoing>,
+}
+
+impl Gate {
+    /// Whether a request may begin. Of a client that leaves in the moment in which a connection comes up the driver
+    /// may be told only after the first byte: so the client's own connection is asked.
+    fn admits(&self) -> bool {
+        self.endpoint.is_open() && self.wish.get() == Wish::Wanted && !(self.message.left)()
+    }
 }
 
 const BLANK: &[u8] = b"\r\n\r\n";
@@ -252,6 +275,7 @@
         let now = Instant::now();
         if self.partial.replace((!bytes.ends_with(BLANK)).then_some(now)).is_none() {
             self.begins.set(Some(now));
+            self.early.set(!self.complete());
         }
         self.read.notify_one();
     }
@@ -272,7 +296,7 @@
     fn admit(&self) -> bool {
         let gate = self.gate.borrow();
         let go = match self.begun.get() {
-            false => gate.as_ref().is_some_and(|g| g.endpoint.is_open() && g.wish.get() == Wish::Wanted),
+            false => gate.as_ref().is_some_and(Gate::admits),
             true => self.complete() || gate.as_ref().is_none_or(|g| g.wish.get() != Wish::Left),
         };
         self.denied.set(!go);
@@ -312,6 +336,29 @@
     _permit: Rc<OwnedSemaphorePermit>,
 }
 
+/// What comes next on a socket.
+#[derive(PartialEq)]
+enum Next {
+    Nothing,
+    Bytes,
+    End,
+}
+
+/// Asks the system itself, which may know more than the runtime has been told.
+fn peek(stream: &TcpStream) -> Next {
+    match socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+        Ok(0) => Next::End,
+        Ok(_) => Next::Bytes,
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Next::Nothing,
+        Err(_) => Next::End,
+    }
+}
+
+/// Whether the other side has ended a connection, if no unread bytes lie before that.
+pub fn has_ended(stream: &TcpStream) -> bool {
+    peek(stream) == Next::End
+}
+
 /// Reads from a socket that others hold too.
 pub fn poll_read(stream: &TcpStream, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
     loop {
@@ -357,6 +404,10 @@
         if !self.meter.admit() {
             return Poll::Ready(Err(io::ErrorKind::PermissionDenied.into()));
         }
+        // Whatever comes before a request has begun is no answer to it, and an end now is not one after it.
+        if !self.meter.begun.get() && peek(&self.stream) != Next::Nothing {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         let n = std::task::ready!(poll_write(&self.stream, cx, bytes))?;
         self.meter.wrote(&bytes[..n]);
         Poll::Ready(Ok(n))
@@ -493,8 +544,7 @@
 
     async fn connection(&self, endpoint: &Rc<Endpoint>) -> io::Result<Connection> {
         loop {
-            // The one used last is the least likely to have been closed.
-            let Some(idle) = endpoint.idle.borrow_mut().pop() else { break };
+            let Some(idle) = endpoint.take_idle() else { break };
             if idle.since.elapsed() < self.keep.span() && idle.connection.is_alive() {
                 return Ok(idle.connection);
             }
@@ -565,29 +615,39 @@
         report: impl FnOnce(Outcome, Option<Reply>),
     ) {
         // Whatever goes wrong before the request's last byte is written proves that it never ran.
-        let mut connection = match timeout_at(until, self.connection(&endpoint)).await {
-            Ok(Ok(connection)) => connection,
-            Ok(Err(_)) | Err(_) => return report(Outcome::ConnectFailed, None),
-        };
-        if !endpoint.is_open() || wish.get() != Wish::Wanted {
-            return report(Outcome::Moot, None);
-        }
-        let meter = connection.meter.clone();
-        let Some((request, length)) = message.request(until, &meter) else {
-            return report(Outcome::Moot, None);
-        };
-        meter.start(Gate { endpoint: endpoint.clone(), wish }, length);
-        let answer = async {
-            tokio::select! {
-                biased;
-                answer = exchange(&mut connection.sender, request, &meter, self.plain) => answer,
-                () = meter.stalled() => Err("the answer has no end".into()),
+        let (mut connection, answer) = loop {
+            let mut connection = match timeout_at(until, self.connection(&endpoint)).await {
+                Ok(Ok(connection)) => connection,
+                Ok(Err(_)) | Err(_) => return report(Outcome::ConnectFailed, None),
+            };
+            if !endpoint.is_open() || wish.get() != Wish::Wanted {
+                return report(Outcome::Moot, None);
+            }
+            let meter = connection.meter.clone();
+            let Some((request, length)) = message.request(until, &meter) else {
+                return report(Outcome::Moot, None);
+            };
+            let gate = Gate { endpoint: endpoint.clone(), wish: wish.clone(), message: message.clone() };
+            meter.start(gate, length);
+            let answer = async {
+                tokio::select! {
+                    biased;
+                    answer = exchange(&mut connection.sender, request, &meter, self.plain) => answer,
+                    () = meter.stalled() => Err("the answer has no end".into()),
+                }
+            };
+            let answer = match &message.body {
+                Load::Whole { .. } => timeout_at(until, answer).await.map_err(|_| Late),
+                Load::Flow(_) => within(&meter, answer).await,
+            };
+            // An idle connection that has ended or is of no use before anything was written to it costs nothing but
+            // another one.
+            let unused = matches!(answer, Ok(Err(_))) && !meter.begun.get() && !meter.denied.get();
+            if !(unused && !connection.first && !message.is_spent()) {
+                break (connection, answer);
             }
         };
-        let answer = match &message.body {
-            Load::Whole { .. } => timeout_at(until, answer).await.map_err(|_| Late),
-            Load::Flow(_) => within(&meter, answer).await,
-        };
+        let meter = connection.meter.clone();
         match answer {
             Ok(Ok((outcome, reply, keep))) => {
                 let keep = match reply {
@@ -688,6 +748,11 @@
     let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
     let begun = meter.begins.get().unwrap_or_else(Instant::now);
     let (head, body) = answer.into_parts();
+    // By the platform's protocol a request begins with its last byte: what is served before that is an earlier one.
+    let early = meter.early.get() && !plain;
+    if early && head.status == StatusCode::OK {
+        return Err("it has answered what it has not got whole".into());
+    }
     let length = body.size_hint().exact();
     if length.is_some_and(|length| length > MOST) {
         return Err("the answer is too long".into());
@@ -712,10 +777,11 @@
             (Outcome::Served, passed(body), true)
         }
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unseen => {
-            (Outcome::Full, None, matches!(body, Answered::Whole(_)))
+            (Outcome::Full, None, matches!(body, Answered::Whole(_)) && !early)
         }
         status => {
-            let keep = status != StatusCode::SWITCHING_PROTOCOLS && matches!(body, Answered::Whole(_));
+            let whole = matches!(body, Answered::Whole(_));
+            let keep = status != StatusCode::SWITCHING_PROTOCOLS && whole && !early;
             (Outcome::Error, if plain && keep { passed(body) } else { None }, keep)
         }
     })
@@ -808,201 +874,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-    use tokio::net::TcpListener;
-
-    use super::*;
-    use crate::flow::Pool;
-
-    fn started(body: usize) -> (Meter, Rc<Endpoint>, Rc<Cell<Wish>>) {
-        let endpoint = Endpoint::new("127.0.0.1:1".parse().expect("an address"), 0.0);
-        let wish = Rc::new(Cell::new(Wish::Wanted));
-        let meter = Meter::default();
-        meter.start(Gate { endpoint: endpoint.clone(), wish: wish.clone() }, body);
-        (meter, endpoint, wish)
-    }
-
-    #[test]
-    fn a_request_is_complete_with_its_last_byte_however_it_is_cut() {
-        let text = b"POST /x HTTP/1.1\r\nA: b\r\n\r\n\r\n\r\nbody";
-        for cut in 1..text.len() {
-            let (meter, ..) = started(8);
-            meter.wrote(&text[..cut]);
-            assert!(meter.begun.get() && !meter.complete(), "cut at {cut}");
-            meter.wrote(&text[cut..]);
-            assert!(meter.complete(), "cut at {cut}");
-        }
-    }
-
-    #[test]
-    fn the_first_byte_waits_for_an_open_backend_and_a_wanted_request() {
-        let (meter, endpoint, _) = started(0);
-        endpoint.set_open(false);
-        assert!(!meter.admit() && meter.denied.get());
-        for wish in [Wish::Answered, Wish::Left] {
-            let (meter, _, wished) = started(0);
-            wished.set(wish);
-            assert!(!meter.admit());
-        }
-        let (meter, endpoint, _) = started(0);
-        assert!(meter.admit());
-        meter.wrote(b"G");
-        endpoint.set_open(false); // what has begun is finished
-        assert!(meter.admit());
-        assert!(!Meter::default().admit(), "nothing is written between requests");
-    }
-
-    #[test]
-    fn headers_of_one_connection_go_no_further() {
-        let mut headers = HeaderMap::new();
-        for (name, value) in
-            [("connection", "x-own, close"), ("x-own", "1"), ("x-kept", "2"), ("te", "trailers")]
-        {
-            headers.insert(name, HeaderValue::from_static(value));
-        }
-        strip(&mut headers);
-        assert_eq!(headers.len(), 1);
-        assert!(headers.contains_key("x-kept"));
-    }
-
-    fn upstreams(sockets: usize) -> Rc<Upstreams> {
-        let connections = Connections { dial_timeout: 600_000.0, idle_close: 600_000.0 };
-        let memory = Memory { pieces: Pool::new(1 << 20), ahead: Pool::new(1 << 20) };
-        Rc::new(Upstreams::new(&connections, sockets, false, Arc::default(), memory))
-    }
-
-    /// Makes an attempt at the listener's address; tells how it ended.
-    fn attempted(
-        upstreams: &Rc<Upstreams>, listener: &TcpListener, body: Bytes, wish: &Rc<Cell<Wish>>,
-    ) -> JoinHandle<Option<Outcome>> {
-        let (upstreams, wish) = (upstreams.clone(), wish.clone());
-        let endpoint = Endpoint::new(listener.local_addr().expect("its own"), 0.0);
-        upstreams.add(&endpoint);
-        let (method, uri, headers) = (Method::POST, Uri::from_static("/x"), HeaderMap::new());
-        let body = Load::Whole { body, _held: None };
-        let message = Rc::new(Outgoing { method, uri, headers, body });
-        tokio::task::spawn_local(async move {
-            let (mut ended, until) = (None, Instant::now() + Duration::from_secs(60));
-            upstreams.attempt(endpoint, wish, message, until, |outcome, _| ended = Some(outcome)).await;
-            ended
-        })
-    }
-
-    fn played(play: impl Future<Output = ()>) {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        let all = async { timeout(Duration::from_secs(30), play).await.expect("it ends in time") };
-        tokio::task::LocalSet::new().block_on(&runtime, all);
-    }
-
-    /// Takes the next connection and reads the head on it.
-    async fn next(listener: &TcpListener) -> tokio::net::TcpStream {
-        let (mut stream, _) = listener.accept().await.expect("a connection");
-        read_head(&mut stream).await;
-        stream
-    }
-
-    async fn read_head(stream: &mut tokio::net::TcpStream) {
-        let mut read = Vec::new();
-        while !read.ends_with(BLANK) {
-            assert!(stream.read_buf(&mut read).await.expect("a head") > 0);
-        }
-    }
-
-    const SERVED: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-    const AWAY: &[u8] = b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
-
-    #[test]
-    fn where_backends_hold_too_few_connections_none_stands_idle() {
-        played(async {
-            let upstreams = upstreams(8);
-            let wish = Rc::new(Cell::new(Wish::Wanted));
-            let [kept, full] = [
-                TcpListener::bind("127.0.0.1:0").await.expect("a port"),
-                TcpListener::bind("127.0.0.1:0").await.expect("a port"),
-            ];
-            let first = attempted(&upstreams, &kept, Bytes::new(), &wish);
-            let mut idle = next(&kept).await;
-            idle.write_all(SERVED).await.expect("it reads");
-            assert_eq!(first.await.expect("no panic"), Some(Outcome::Served));
-            let most = upstreams.keep.span();
-            let mut tries = 0;
-            while upstreams.keep.span() > LEAST_KEPT {
-                let attempt = attempted(&upstreams, &full, Bytes::new(), &wish);
-                next(&full).await.write_all(AWAY).await.expect("it reads");
-                assert_eq!(attempt.await.expect("no panic"), Some(Outcome::Full));
-                tries += 1;
-                assert!(tries < 100, "{:?}", upstreams.keep.span());
-            }
-            tokio::time::sleep(LEAST_KEPT).await; // so that it has stood for longer than is now allowed
-            upstreams.retire();
-            assert_eq!(idle.read(&mut [0; 1]).await.expect("an end"), 0);
-            // As new ones are let in, they are kept for longer again.
-            while upstreams.keep.span() < most {
-                let attempt = attempted(&upstreams, &kept, Bytes::new(), &wish);
-                next(&kept).await.write_all(SERVED).await.expect("it reads");
-                assert_eq!(attempt.await.expect("no panic"), Some(Outcome::Served));
-            }
-        });
-    }
-
-    #[test]
-    fn a_full_queue_is_no_lack_of_connections() {
-        let keep = Keep::new(Duration::from_secs(40));
-        for _ in 0..100 {
-            keep.heard(false, true);
-            keep.heard(true, true);
-        }
-        assert_eq!(keep.span(), Duration::from_secs(40));
-    }
-
-    #[test]
-    fn who_waits_for_a_socket_gets_the_next_that_comes_free() {
-        played(async {
-            let upstreams = upstreams(1);
-            let one = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            let two = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            let wish = Rc::new(Cell::new(Wish::Wanted));
-            let first = attempted(&upstreams, &one, Bytes::new(), &wish);
-            let (mut held, _) = one.accept().await.expect("the first");
-            let second = attempted(&upstreams, &two, Bytes::new(), &wish);
-            while upstreams.waiting.get() == 0 {
-                tokio::task::yield_now().await;
-            }
-            let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-            held.write_all(answer).await.expect("it reads");
-            assert_eq!(first.await.expect("no panic"), Some(Outcome::Served));
-            let (mut next, _) = two.accept().await.expect("the second");
-            next.write_all(answer).await.expect("it reads");
-            assert_eq!(second.await.expect("no panic"), Some(Outcome::Served));
-        });
-    }
-
-    #[test]
-    fn the_rest_of_a_half_written_request_is_kept_from_a_backend_once_its_client_has_left() {
-        for (to, whole) in [(Wish::Left, false), (Wish::Answered, true)] {
-            played(async move {
-                let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-                let wish = Rc::new(Cell::new(Wish::Wanted));
-                let size = 30 << 20; // more than the system takes
-                let attempt = attempted(&upstreams(1), &listener, vec![0; size].into(), &wish);
-                let (mut backend, _) = listener.accept().await.expect("the attempt");
-                let mut buffer = vec![0; 1 << 16];
-                let mut read = backend.read(&mut buffer).await.expect("the head");
-                wish.set(to);
-                let answered = async {
-                    while read < size {
-                        match backend.read(&mut buffer).await {
-                            Ok(n) if n > 0 => read += n,
-                            _ => return false,
-                        }
-                    }
-                    backend.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.is_ok()
-                };
-                assert_eq!(answered.await, whole, "{to:?}: {read} bytes");
-                let outcome = if whole { Outcome::Served } else { Outcome::Moot };
-                assert_eq!(attempt.await.expect("no panic"), Some(outcome));
-            });
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/proxy/src/upstream/tests.rs
@@ -0,0 +1,313 @@
+//! Attempts on real connections, in an order that the test sets.
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpListener;
+
+use super::*;
+use crate::flow::Pool;
+
+fn outgoing(body: Bytes, left: bool) -> Rc<Outgoing> {
+    let (method, uri, headers) = (Method::POST, Uri::from_static("/x"), HeaderMap::new());
+    let body = Load::Whole { body, _held: None };
+    Rc::new(Outgoing { method, uri, headers, body, left: Box::new(move || left) })
+}
+
+fn started(body: usize) -> (Meter, Rc<Endpoint>, Rc<Cell<Wish>>) {
+    let endpoint = Endpoint::new("127.0.0.1:1".parse().expect("an address"), 0.0);
+    let wish = Rc::new(Cell::new(Wish::Wanted));
+    let meter = Meter::default();
+    let message = outgoing(Bytes::new(), false);
+    meter.start(Gate { endpoint: endpoint.clone(), wish: wish.clone(), message }, body);
+    (meter, endpoint, wish)
+}
+
+#[test]
+fn a_request_is_complete_with_its_last_byte_however_it_is_cut() {
+    let text = b"POST /x HTTP/1.1\r\nA: b\r\n\r\n\r\n\r\nbody";
+    for cut in 1..text.len() {
+        let (meter, ..) = started(8);
+        meter.wrote(&text[..cut]);
+        assert!(meter.begun.get() && !meter.complete(), "cut at {cut}");
+        meter.wrote(&text[cut..]);
+        assert!(meter.complete(), "cut at {cut}");
+    }
+}
+
+#[test]
+fn the_first_byte_waits_for_an_open_backend_and_a_wanted_request() {
+    let (meter, endpoint, _) = started(0);
+    endpoint.set_open(false);
+    assert!(!meter.admit() && meter.denied.get());
+    for wish in [Wish::Answered, Wish::Left] {
+        let (meter, _, wished) = started(0);
+        wished.set(wish);
+        assert!(!meter.admit());
+    }
+    let (meter, endpoint, _) = started(0);
+    assert!(meter.admit());
+    meter.wrote(b"G");
+    endpoint.set_open(false); // what has begun is finished
+    assert!(meter.admit());
+    assert!(!Meter::default().admit(), "nothing is written between requests");
+    let (meter, endpoint, wish) = started(0);
+    meter.start(Gate { endpoint, wish, message: outgoing(Bytes::new(), true) }, 0);
+    assert!(!meter.admit() && meter.denied.get(), "its client has left");
+}
+
+#[test]
+fn headers_of_one_connection_go_no_further() {
+    let mut headers = HeaderMap::new();
+    for (name, value) in [("connection", "x-own, close"), ("x-own", "1"), ("x-kept", "2"), ("te", "trailers")]
+    {
+        headers.insert(name, HeaderValue::from_static(value));
+    }
+    strip(&mut headers);
+    assert_eq!(headers.len(), 1);
+    assert!(headers.contains_key("x-kept"));
+}
+
+fn upstreams(sockets: usize) -> Rc<Upstreams> {
+    let connections = Connections { dial_timeout: 600_000.0, idle_close: 600_000.0 };
+    let memory = Memory { pieces: Pool::new(1 << 20), ahead: Pool::new(1 << 20) };
+    Rc::new(Upstreams::new(&connections, sockets, false, Arc::default(), memory))
+}
+
+/// Makes an attempt at the listener's address; tells how it ended.
+fn attempted(
+    upstreams: &Rc<Upstreams>, listener: &TcpListener, body: Bytes, wish: &Rc<Cell<Wish>>,
+) -> JoinHandle<Option<Outcome>> {
+    let endpoint = Endpoint::new(listener.local_addr().expect("its own"), 0.0);
+    upstreams.add(&endpoint);
+    attempted_at(upstreams, &endpoint, body, wish)
+}
+
+/// Makes an attempt at a backend that may have idle connections.
+fn attempted_at(
+    upstreams: &Rc<Upstreams>, endpoint: &Rc<Endpoint>, body: Bytes, wish: &Rc<Cell<Wish>>,
+) -> JoinHandle<Option<Outcome>> {
+    let (upstreams, endpoint, wish) = (upstreams.clone(), endpoint.clone(), wish.clone());
+    let message = outgoing(body, false);
+    tokio::task::spawn_local(async move {
+        let (mut ended, until) = (None, Instant::now() + Duration::from_secs(60));
+        upstreams.attempt(endpoint, wish, message, until, |outcome, _| ended = Some(outcome)).await;
+        ended
+    })
+}
+
+fn played(play: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let all = async { timeout(Duration::from_secs(30), play).await.expect("it ends in time") };
+    tokio::task::LocalSet::new().block_on(&runtime, all);
+}
+
+/// Takes the next connection and reads the head on it.
+async fn next(listener: &TcpListener) -> tokio::net::TcpStream {
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    read_head(&mut stream).await;
+    stream
+}
+
+async fn read_head(stream: &mut tokio::net::TcpStream) {
+    let mut read = Vec::new();
+    while !read.ends_with(BLANK) {
+        assert!(stream.read_buf(&mut read).await.expect("a head") > 0);
+    }
+}
+
+const SERVED: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const AWAY: &[u8] = b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
+
+#[test]
+fn where_backends_hold_too_few_connections_none_stands_idle() {
+    played(async {
+        let upstreams = upstreams(8);
+        let wish = Rc::new(Cell::new(Wish::Wanted));
+        let [kept, full] = [
+            TcpListener::bind("127.0.0.1:0").await.expect("a port"),
+            TcpListener::bind("127.0.0.1:0").await.expect("a port"),
+        ];
+        let first = attempted(&upstreams, &kept, Bytes::new(), &wish);
+        let mut idle = next(&kept).await;
+        idle.write_all(SERVED).await.expect("it reads");
+        assert_eq!(first.await.expect("no panic"), Some(Outcome::Served));
+        let most = upstreams.keep.span();
+        let mut tries = 0;
+        while upstreams.keep.span() > LEAST_KEPT {
+            let attempt = attempted(&upstreams, &full, Bytes::new(), &wish);
+            next(&full).await.write_all(AWAY).await.expect("it reads");
+            assert_eq!(attempt.await.expect("no panic"), Some(Outcome::Full));
+            tries += 1;
+            assert!(tries < 100, "{:?}", upstreams.keep.span());
+        }
+        tokio::time::sleep(LEAST_KEPT).await; // so that it has stood for longer than is now allowed
+        upstreams.retire();
+        assert_eq!(idle.read(&mut [0; 1]).await.expect("an end"), 0);
+        // As new ones are let in, they are kept for longer again.
+        while upstreams.keep.span() < most {
+            let attempt = attempted(&upstreams, &kept, Bytes::new(), &wish);
+            next(&kept).await.write_all(SERVED).await.expect("it reads");
+            assert_eq!(attempt.await.expect("no panic"), Some(Outcome::Served));
+        }
+    });
+}
+
+#[test]
+fn a_full_queue_is_no_lack_of_connections() {
+    let keep = Keep::new(Duration::from_secs(40));
+    for _ in 0..100 {
+        keep.heard(false, true);
+        keep.heard(true, true);
+    }
+    assert_eq!(keep.span(), Duration::from_secs(40));
+}
+
+#[test]
+fn who_waits_for_a_socket_gets_the_next_that_comes_free() {
+    played(async {
+        let upstreams = upstreams(1);
+        let one = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let two = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let wish = Rc::new(Cell::new(Wish::Wanted));
+        let first = attempted(&upstreams, &one, Bytes::new(), &wish);
+        let mut held = next(&one).await;
+        let second = attempted(&upstreams, &two, Bytes::new(), &wish);
+        while upstreams.waiting.get() == 0 {
+            tokio::task::yield_now().await;
+        }
+        held.write_all(SERVED).await.expect("it reads");
+        assert_eq!(first.await.expect("no panic"), Some(Outcome::Served));
+        let mut next = next(&two).await;
+        next.write_all(SERVED).await.expect("it reads");
+        assert_eq!(second.await.expect("no panic"), Some(Outcome::Served));
+    });
+}
+
+#[test]
+fn the_rest_of_a_half_written_request_is_kept_from_a_backend_once_its_client_has_left() {
+    for (to, whole) in [(Wish::Left, false), (Wish::Answered, true)] {
+        played(async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let wish = Rc::new(Cell::new(Wish::Wanted));
+            let size = 30 << 20; // more than the system takes
+            let attempt = attempted(&upstreams(1), &listener, vec![0; size].into(), &wish);
+            let (mut backend, _) = listener.accept().await.expect("the attempt");
+            let mut buffer = vec![0; 1 << 16];
+            let mut read = backend.read(&mut buffer).await.expect("the head");
+            wish.set(to);
+            let answered = async {
+                while read < size {
+                    match backend.read(&mut buffer).await {
+                        Ok(n) if n > 0 => read += n,
+                        _ => return false,
+                    }
+                }
+                backend.write_all(SERVED).await.is_ok()
+            };
+            assert_eq!(answered.await, whole, "{to:?}: {read} bytes");
+            let outcome = if whole { Outcome::Served } else { Outcome::Moot };
+            assert_eq!(attempt.await.expect("no panic"), Some(outcome));
+        });
+    }
+}
+
+/// A backend with one idle connection, and its end of that.
+async fn idle_at(
+    upstreams: &Rc<Upstreams>, listener: &TcpListener, wish: &Rc<Cell<Wish>>,
+) -> (Rc<Endpoint>, tokio::net::TcpStream) {
+    let endpoint = Endpoint::new(listener.local_addr().expect("its own"), 0.0);
+    upstreams.add(&endpoint);
+    let attempt = attempted_at(upstreams, &endpoint, Bytes::new(), wish);
+    let mut idle = next(listener).await;
+    idle.write_all(SERVED).await.expect("it reads");
+    assert_eq!(attempt.await.expect("no panic"), Some(Outcome::Served));
+    assert_eq!(endpoint.idle.borrow().len(), 1);
+    (endpoint, idle)
+}
+
+#[test]
+fn an_idle_connection_that_ends_or_speaks_before_a_first_byte_is_written_gives_way_to_a_new_one() {
+    let deeds: [fn(tokio::net::TcpStream) -> Option<tokio::net::TcpStream>; 3] = [
+        |idle| {
+            drop(idle);
+            None
+        },
+        |idle| {
+            idle.try_write(SERVED).expect("room for it");
+            Some(idle)
+        },
+        |idle| {
+            idle.try_write(b"HTT").expect("room for it");
+            Some(idle)
+        },
+    ];
+    for deed in deeds {
+        played(async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let (upstreams, wish) = (upstreams(8), Rc::new(Cell::new(Wish::Wanted)));
+            let (endpoint, idle) = idle_at(&upstreams, &listener, &wish).await;
+            // The attempt has taken the connection before the backend does its deed, and the connection's own task
+            // is to write only after that: tasks run in the order in which they are woken.
+            let attempt = attempted_at(&upstreams, &endpoint, Bytes::new(), &wish);
+            let done = tokio::task::spawn_local({
+                let endpoint = endpoint.clone();
+                async move {
+                    assert!(endpoint.idle.borrow().is_empty(), "it has been taken");
+                    deed(idle)
+                }
+            });
+            let idle = done.await.expect("no panic");
+            let mut new = next(&listener).await;
+            new.write_all(AWAY).await.expect("it reads");
+            assert_eq!(attempt.await.expect("no panic"), Some(Outcome::Full), "the new one's answer");
+            if let Some(mut idle) = idle {
+                assert!(!matches!(idle.read(&mut [0; 1]).await, Ok(1)), "nothing is written to the old one");
+            }
+        });
+    }
+}
+
+#[test]
+fn a_new_connection_that_has_ended_before_a_first_byte_is_written_has_run_nothing() {
+    played(async {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let (upstreams, wish) = (upstreams(8), Rc::new(Cell::new(Wish::Wanted)));
+        let endpoint = Endpoint::new(listener.local_addr().expect("its own"), 0.0);
+        let attempt = attempted_at(&upstreams, &endpoint, Bytes::new(), &wish);
+        tokio::task::yield_now().await; // the attempt dials, and is told only after this that it is through
+        drop(listener.accept().expect("the attempt's"));
+        assert_eq!(attempt.await.expect("no panic"), Some(Outcome::ConnectFailed));
+    });
+}
+
+#[test]
+fn a_client_that_leaves_while_its_request_waits_for_a_socket_is_not_sent_on() {
+    played(async {
+        let upstreams = upstreams(1);
+        let one = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let two = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let wishes = [Wish::Wanted, Wish::Wanted].map(|wish| Rc::new(Cell::new(wish)));
+        let first = attempted(&upstreams, &one, Bytes::new(), &wishes[0]);
+        let mut held = next(&one).await;
+        let second = attempted(&upstreams, &two, Bytes::new(), &wishes[1]);
+        while upstreams.waiting.get() == 0 {
+            tokio::task::yield_now().await;
+        }
+        wishes[1].set(Wish::Left);
+        held.write_all(SERVED).await.expect("it reads");
+        assert_eq!(first.await.expect("no panic"), Some(Outcome::Served));
+        assert_eq!(second.await.expect("no panic"), Some(Outcome::Moot));
+        let (mut unused, _) = two.accept().await.expect("it came up all the same");
+        assert_eq!(unused.read(&mut [0; 1]).await.expect("an end"), 0);
+    });
+}
+
+#[test]
+fn the_connection_used_last_rests_while_there_is_another() {
+    let chosen = |stood: &[u64]| choice(stood.iter().map(|ms| Duration::from_millis(*ms)));
+    assert_eq!(chosen(&[]), None);
+    assert_eq!(chosen(&[5]), Some(0));
+    assert_eq!(chosen(&[900, 400, 30]), Some(2));
+    assert_eq!(chosen(&[900, 400, 5]), Some(1));
+    assert_eq!(chosen(&[900, 6, 5]), Some(0));
+    assert_eq!(chosen(&[15, 6, 5]), Some(0));
+}
