Owners of slots are worked out when members or slots change, not at each look

Cause: Balancer::owned hashed every slot of a server with every proxy of its zone, and an eighth of the servers are sized in each review, so a proxy at rest paid proxies x backends for an answer that rarely changes. Change: who shares a zone's servers is kept until a zone, a farewell or a silence changes it; which slots of a server are own is kept until then, or until its zone or its number of slots change. Both new tests fail when the kept owners are not given up.

--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -54,6 +54,7 @@
             ticks: 0,
             peers: (0..cfg.proxies).map(|_| None).collect(),
             zones: vec![None; cfg.proxies as usize],
+            sharers: Default::default(),
             credit: 0.0,
             told_at: 0.0,
             news: STALE,
@@ -87,7 +88,10 @@
             }
             Event::Upload { request, stage } => self.upload(now, request, stage),
             Event::Retune(to) => self.retune(*to),
-            Event::Leaving(leaving) => self.overlay.leaving = leaving,
+            Event::Leaving(leaving) => {
+                self.overlay.leaving = leaving;
+                self.sharers.change();
+            }
             Event::Twin(twin) => self.overlay.twin = twin,
             Event::Maintenance { backend, banned } => self.maintain(now, backend, banned),
             Event::Abandoned(id) => self.finish(id),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 mod number;
 mod operators;
 mod overlay;
+mod owners;
 mod policy;
 mod records;
 #[cfg(feature = "settings")]
--- a/crates/core/tests/upkeep.rs
+++ b/crates/core/tests/upkeep.rs
@@ -229,3 +229,62 @@
     let (stays, leaves) = (out(false), out(true));
     assert!(leaves > stays, "{leaves} against {stays}");
 }
+
+/// What a proxy tells that holds a request at each of these servers.
+fn full_word(servers: u64) -> Vec<u8> {
+    let cfg = Settings { may_tell: true, me: 1, ..settings(2) };
+    let mut hand = Hand::new(cfg, (1..=servers).map(server).collect());
+    hand.pass(1000.0);
+    let sent: usize = (1..200).map(|id| sends(&hand.give(request(id, 0, 3000.0))).len()).sum();
+    assert!(sent as u64 >= servers);
+    let told = hand.pass(300.0).into_iter().rev().find_map(|a| match a {
+        Action::Broadcast(bytes) => Some(bytes),
+        _ => None,
+    });
+    told.expect("a word")
+}
+
+#[test]
+fn slots_are_shared_out_anew_whenever_a_proxy_leaves_returns_or_falls_silent() {
+    // One proxy holds something everywhere, so nothing is borrowed: what is sent shows the own slots alone. Ten
+    // rounds of each word; `None`: silence.
+    let full = full_word(24);
+    let out = |words: &[Option<bool>]| {
+        let mut hears = settings(12);
+        hears.may_tell = true;
+        let mut hand = Hand::new(hears, (1..25).map(server).collect());
+        for leaving in words.iter().flat_map(|w| [*w; 10]) {
+            if let Some(leaving) = leaving {
+                (1..11).for_each(|from| drop(hand.give(Event::Message { from, bytes: word(leaving) })));
+            }
+            hand.give(Event::Message { from: 11, bytes: full.clone() });
+            hand.pass(100.0);
+        }
+        (1..61).map(|id| sends(&hand.give(request(id, 0, 3000.0))).len()).sum::<usize>()
+    };
+    let (stays, leaves) = (Some(false), Some(true));
+    let (kept, given) = (out(&[stays, stays, stays]), out(&[leaves, leaves, leaves]));
+    assert!(given > 2 * kept, "{given} against {kept}");
+    assert_eq!(out(&[stays, stays, leaves]), given, "slots worked out before they left are void");
+    assert_eq!(out(&[stays, leaves, stays]), kept, "and after their return");
+    let silent = out(&[stays, stays, None, None]);
+    assert_eq!(out(&[stays, leaves, None, None]), silent, "a farewell counts for as long as it is repeated");
+}
+
+#[test]
+fn slots_follow_the_zones_that_proxies_tell_of() {
+    // Of eight proxies seven turn out to stand elsewhere: all slots of the zone are this one's then.
+    let out = |zone: u8| {
+        let mut hears = settings(8);
+        hears.may_tell = true;
+        let mut hand = Hand::new(hears, (1..7).map(server).collect());
+        hand.pass(1000.0);
+        for _ in 0..20 {
+            (1..8).for_each(|from| drop(hand.give(Event::Message { from, bytes: vec![1, zone, 0] })));
+            hand.pass(100.0);
+        }
+        (1..31).map(|id| sends(&hand.give(request(id, 0, 3000.0))).len()).sum::<usize>()
+    };
+    let (near, far) = (out(0), out(1));
+    assert!(far > near, "{far} against {near}");
+}
