Readiness test: its bound tells a remembered list from none, not how busy the machine is

The new test asked for a second; it takes 0.54 s, but one of 50 runs took 1.84 s at a load of 43, so its verdict hung on the machine. What it has to tell apart is serving from the remembered list (0.5 s) from serving without one (5 s): a bound of 4 s does, and a proxy that waited for discovery still fails it.

--- a/crates/cli/tests/readiness.rs
+++ b/crates/cli/tests/readiness.rs
@@ -77,15 +77,18 @@
     begun.elapsed()
 }
 
+/// Sooner than any proxy without a list, whatever the machine's load; it takes half a second by itself.
+const REMEMBERED: Duration = Duration::from_secs(4);
+
 #[test]
-fn with_a_remembered_list_a_proxy_serves_within_a_second() {
+fn with_a_remembered_list_a_proxy_does_not_wait_for_discovery() {
     let backend = Backend::new(Deed::Write(ok("")));
     let all: Vec<_> = troubles();
     for (name, address, _held) in &all {
         let proxy = Proxy::start_by(*address, &Setup { known: all_up(&[&backend]), ..Setup::default() });
         let after = ready(&proxy);
         eprintln!("remembered list, discovery {name}: ready after {after:?}");
-        assert!(after < Duration::from_secs(1), "{name}: {after:?}");
+        assert!(after < REMEMBERED, "{name}: {after:?}");
         assert_eq!(Client::new(&proxy).ask(&page("r-1")).expect("an answer").status(), 200, "{name}");
     }
 }
