--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -54,7 +54,6 @@
             ticks: 0,
             peers: (0..cfg.proxies).map(|_| None).collect(),
             zones: vec![None; cfg.proxies as usize],
-            sharers: Default::default(),
             credit: 0.0,
             told_at: 0.0,
             news: STALE,
@@ -88,10 +87,7 @@
             }
             Event::Upload { request, stage } => self.upload(now, request, stage),
             Event::Retune(to) => self.retune(*to),
-            Event::Leaving(leaving) => {
-                self.overlay.leaving = leaving;
-                self.sharers.change();
-            }
+            Event::Leaving(leaving) => self.overlay.leaving = leaving,
             Event::Twin(twin) => self.overlay.twin = twin,
             Event::Maintenance { backend, banned } => self.maintain(now, backend, banned),
             Event::Abandoned(id) => self.finish(id),
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -25,7 +25,7 @@
 pub struct TenantId(pub usize);
 
 /// A zone of the network, as numbered by the caller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ZoneId(pub u32);
 
 /// A kind of machine, as numbered by the caller.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,7 +23,6 @@
 mod number;
 mod operators;
 mod overlay;
-mod owners;
 mod policy;
 mod records;
 #[cfg(feature = "settings")]
--- a/crates/core/src/policy/peers.rs
+++ b/crates/core/src/policy/peers.rs
@@ -12,7 +12,6 @@
         else {
             return;
         };
-        let shared = (self.zones[from], self.leaves(from as u32));
         let before = self.unhear(from);
         blames.iter().for_each(|&k| self.servers[k].blame += 1);
         let holds: Vec<_> = holds.iter().map(|&k| (k, usize::from(self.servers[k].crosses(zone)))).collect();
@@ -24,9 +23,6 @@
         let leaving = bytes[2] & LEAVING != 0;
         self.overlay.left += u32::from(leaving);
         self.peers[from] = Some(Peer { heard: now, holds, blames, leaving });
-        if shared != (self.zones[from], self.leaves(from as u32)) {
-            self.sharers.change();
-        }
     }
 
     /// Takes back what a peer told before; returns the servers where it held something.
@@ -52,12 +48,7 @@
     /// Takes back what was told too long ago.
     pub(crate) fn forget_silent(&mut self, now: Millis) {
         for from in 0..self.peers.len() {
-            if let Some(leaving) =
-                self.peers[from].as_ref().filter(|p| now - p.heard > STALE).map(|p| p.leaving)
-            {
-                if leaving {
-                    self.sharers.change();
-                }
+            if self.peers[from].as_ref().is_some_and(|p| now - p.heard > STALE) {
                 self.unhear(from).into_iter().for_each(|(k, _)| self.place(k, now));
             }
         }
--- a/crates/core/src/policy/slots.rs
+++ b/crates/core/src/policy/slots.rs
@@ -92,11 +92,10 @@
             1.0 // one slot on every server
         } else {
             // Each slot belongs to one proxy, of the server's zone if there is one: no two see it open.
-            let slots = (seen + draw(s.info.id.0, 0)).floor() as u32;
-            f64::from(self.owned(k, slots)) * self.part()
+            f64::from(self.owned(k, (seen + draw(s.info.id.0, 0)).floor() as u32)) * self.part()
         };
-        let s = &mut self.servers[k];
         self.kinds[s.kind].cores = cores.max(1.0);
+        let s = &mut self.servers[k];
         (s.room, s.mine) = (seen + blind * BLIND, mine);
         s.weight = 1.0 / (s.info.rating * s.warmth).max(1e-6);
     }
@@ -204,28 +203,18 @@
 
     /// How many of a server's slots are this proxy's own: each has one owner among the proxies of the
     /// server's zone, or among all where there is none, by a hash that all of them share.
-    pub(crate) fn owned(&mut self, k: usize, slots: u32) -> u32 {
-        let (id, zone) = (self.servers[k].info.id.0, self.servers[k].info.zone);
-        let mut sharers = std::mem::take(&mut self.sharers);
-        let version = sharers.version;
-        let near = sharers.of(zone, || self.sharers_of(zone));
-        let score = |slot: u32, i: u32| draw(id ^ u64::from(slot), u64::from(i));
-        let is_own = |slot: &u32| {
-            let owner = near.iter().max_by(|&&a, &&b| score(*slot, a).total_cmp(&score(*slot, b)));
-            owner == Some(&self.cfg.me)
-        };
-        let own = self.servers[k].own_slots.count((version, zone), slots.min(MOST_SLOTS), is_own);
-        self.sharers = sharers;
-        own
-    }
-
-    /// The proxies of a zone that don't leave, those of an unknown one included, or all if there are none.
-    fn sharers_of(&self, zone: Option<ZoneId>) -> Vec<u32> {
+    pub(crate) fn owned(&self, k: usize, slots: u32) -> u32 {
+        let info = &self.servers[k].info;
         let near = |i: &u32| {
-            let own = self.zones[*i as usize];
-            (own.is_none() || own == zone) && !self.leaves(*i)
+            let zone = self.zones[*i as usize];
+            (zone.is_none() || zone == info.zone) && !self.leaves(*i)
+        };
+        let any = (0..self.cfg.proxies).any(|i| near(&i));
+        let score = |slot: u32, i: u32| draw(info.id.0 ^ u64::from(slot), u64::from(i));
+        let owner = |slot: &u32| {
+            let proxies = (0..self.cfg.proxies).filter(|i| near(i) || !any);
+            proxies.max_by(|&a, &b| score(*slot, a).total_cmp(&score(*slot, b))) == Some(self.cfg.me)
         };
-        let near: Vec<u32> = (0..self.cfg.proxies).filter(near).collect();
-        if near.is_empty() { (0..self.cfg.proxies).collect() } else { near }
+        (0..slots.min(MOST_SLOTS)).filter(owner).count() as u32
     }
 }
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -1,6 +1,5 @@
 //! What is kept of servers, kinds of machine, attempts and requests. Nothing is decided here.
 use crate::interface::*;
-use crate::owners::OwnSlots;
 use std::collections::VecDeque;
 
 /// How well a server does, as a whole or for one class.
@@ -42,7 +41,6 @@
     pub kind: usize,               // its kind of machine; 0 if none is told
     pub room: f64,                 // slots for all proxies together
     pub mine: f64,                 // those of them that are this proxy's own
-    pub own_slots: OwnSlots,       // which of them are, as worked out
     pub band: usize,               // the speed band of that cost
     pub warmth: f64,               // part of its capacity that it surely has
     pub cost: f64,                 // expected latency relative to the fleet's mean, crossing included
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -4,7 +4,6 @@
 use crate::message::Peer;
 use crate::number::draw;
 use crate::overlay::Overlay;
-use crate::owners::Sharers;
 use crate::records::{Attempt, Kind, Request, Server};
 use crate::standing::Choices;
 use rustc_hash::FxHashMap;
@@ -53,7 +52,6 @@
     pub(crate) ticks: u64,
     pub(crate) peers: Vec<Option<Peer>>,
     pub(crate) zones: Vec<Option<ZoneId>>, // where the proxies stand, as told
-    pub(crate) sharers: Sharers,           // who shares the servers of a zone
     pub(crate) credit: f64,                // bytes that may be told
     pub(crate) told_at: Millis,
     pub(crate) news: Millis, // mean span between this proxy's messages
