--- a/crates/cli/src/logging.rs
+++ b/crates/cli/src/logging.rs
@@ -8,7 +8,7 @@
 use anyhow::Context as _;
 use leadrelay_proxy::config::{Format, Logging};
 use tracing::callsite::Identifier;
-use tracing::{Event, Metadata, Subscriber};
+use tracing::{Event, Level, Metadata, Subscriber};
 use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::Layer;
 use tracing_subscriber::filter::Targets;
@@ -17,7 +17,8 @@
 
 /// Lines that wait for whoever reads them; more are left out.
 const LINES: usize = 1024;
-/// Events that one place in the code may write in a window; more are left out, counted and told.
+/// Events that one place in the code may write in a window; more are left out, counted and told. Those of the levels
+/// below `info` are asked for by whoever follows single requests, and all of them are written.
 const BURST: u32 = 20;
 const WINDOW: Duration = Duration::from_secs(1);
 
@@ -94,6 +95,9 @@
 impl<S: Subscriber, L: Layer<S>> Layer<S> for Limited<L> {
     fn on_event(&self, event: &Event, context: Context<S>) {
         let place = event.metadata();
+        if *place.level() > Level::INFO {
+            return self.inner.on_event(event, context);
+        }
         let (passes, left_out) = self.limit.count(place.callsite(), Instant::now());
         if left_out > 0 {
             self.limit.tell(place, left_out);
--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -63,6 +63,7 @@
             subscription: Subscription::new(),
             overlay: Overlay::default(),
             choices: Default::default(),
+            violations: Default::default(),
             safe_traffic: cfg.classes.iter().any(|c| c.effect == Effect::Safe),
             cfg,
         }
@@ -95,7 +96,7 @@
             Event::Maintenance { backend, banned } => self.maintain(now, backend, banned),
             Event::Abandoned(id) => self.finish(id),
             Event::Timer(0) => self.tick(now, out),
-            Event::Timer(token) => self.answer(RequestId(token - 1), out), // its time is up
+            Event::Timer(token) => self.answer(RequestId(token - 1), RefusalReason::TooLate, out), // its time is up
             Event::Message { from, bytes } => return self.hear(now, from as usize, &bytes),
         }
         self.pump(now, out);
--- a/crates/core/src/gauges.rs
+++ b/crates/core/src/gauges.rs
@@ -34,6 +34,14 @@
         }
         let (waiting, running) = (self.waiting, self.running.len());
         let list_valid = now < self.list_valid_until();
-        Gauges { standings, list_valid, waiting, running, retry_budget: self.retries, choices: self.choices }
+        Gauges {
+            standings,
+            list_valid,
+            waiting,
+            running,
+            retry_budget: self.retries,
+            choices: self.choices,
+            violations: self.violations,
+        }
     }
 }
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -478,6 +478,46 @@
     pub back: Vec<(BackendId, Millis, Millis)>,
 }
 
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RefusalReason {
+    /// No answer could be had any more while it is of use.
+    TooLate,
+    /// More requests are held than may be, and others are worth more.
+    Overload,
+    /// The server list may be out of date.
+    StaleList,
+    /// Its attempts have failed, and no further one is allowed.
+    AttemptsExhausted,
+    /// A send would have broken an invariant.
+    Violation,
+}
+
+impl RefusalReason {
+    /// How many there are.
+    pub const COUNT: usize = RefusalReason::Violation as usize + 1;
+
+    /// All of them.
+    pub const ALL: [RefusalReason; RefusalReason::COUNT] = [
+        RefusalReason::TooLate,
+        RefusalReason::Overload,
+        RefusalReason::StaleList,
+        RefusalReason::AttemptsExhausted,
+        RefusalReason::Violation,
+    ];
+
+    /// Its name in figures and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            RefusalReason::TooLate => "too_late",
+            RefusalReason::Overload => "overload",
+            RefusalReason::StaleList => "stale_list",
+            RefusalReason::AttemptsExhausted => "attempts_exhausted",
+            RefusalReason::Violation => "violation",
+        }
+    }
+}
+
 /// What a proxy is to do, in this order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -496,6 +536,8 @@
         request: RequestId,
         /// How long the client should wait before it tries again.
         retry_after: Option<Millis>,
+        /// Why.
+        reason: RefusalReason,
     },
     /// Final answer: failed; no word on what was done.
     Fail(RequestId),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 mod gauges;
 mod handover;
 pub mod interface;
+mod invariant;
 mod listing;
 mod message;
 mod number;
@@ -33,6 +34,7 @@
 mod wire_names;
 
 pub use interface::*;
+pub use invariant::{Invariant, Violations};
 pub use policy::threshold::threshold;
 pub use standing::{Choices, Gauges, Standing};
 pub use state::Balancer;
--- a/crates/core/src/policy/attempts.rs
+++ b/crates/core/src/policy/attempts.rs
@@ -18,6 +18,10 @@
 #[allow(clippy::too_many_arguments)]
 impl Balancer {
     pub(crate) fn send(&mut self, now: Millis, id: RequestId, k: usize, out: &mut Vec<Action>) {
+        if let Some(broken) = self.broken_by_send(now, id, k) {
+            self.violations.record(broken);
+            return self.answer(id, RefusalReason::Violation, out); // it is owed its answer all the same
+        }
         // Did it find the server idle? Only others' word tells.
         let lone = self.cfg.may_tell && self.news < NEWS * self.mean && self.servers[k].held() == 0;
         self.begin(now, id, k, lone);
@@ -79,23 +83,25 @@
             self.retries -= price;
             self.enqueue(id, true);
         } else {
-            self.answer(id, out);
+            self.answer(id, RefusalReason::AttemptsExhausted, out);
         }
     }
 
     /// Gives the final answer: a refusal where it surely had no effect, else a failure.
-    pub(crate) fn answer(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    pub(crate) fn answer(&mut self, id: RequestId, reason: RefusalReason, out: &mut Vec<Action>) {
         let after = self.comeback(id);
-        self.answer_after(id, after, out);
+        self.answer_after(id, after, reason, out);
     }
 
     /// The same; a refused client should come back after that span.
-    pub(crate) fn answer_after(&mut self, id: RequestId, after: Millis, out: &mut Vec<Action>) {
+    pub(crate) fn answer_after(
+        &mut self, id: RequestId, after: Millis, reason: RefusalReason, out: &mut Vec<Action>,
+    ) {
         let Some(r) = self.requests.get(&id).filter(|r| !r.done && !r.started) else { return };
         let effect = self.cfg.classes[r.class].effect;
         let harmless = matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
         let harmless = harmless || !r.may_have_run();
-        let refuse = Action::Refuse { request: id, retry_after: Some(after) };
+        let refuse = Action::Refuse { request: id, retry_after: Some(after), reason };
         out.push(if harmless { refuse } else { Action::Fail(id) });
         self.finish(id);
     }
@@ -143,7 +149,7 @@
             let late = |r: &Request| now + MARGIN.max(0.5 * self.usual(r)) > self.end(r);
             let useless = |id: &RequestId| self.requests.get(id).is_some_and(|r| r.waiting && late(r));
             let ids: Vec<RequestId> = self.queues[q].iter().copied().filter(useless).collect();
-            ids.into_iter().for_each(|id| self.answer(id, out));
+            ids.into_iter().for_each(|id| self.answer(id, RefusalReason::TooLate, out));
         }
     }
 
--- a/crates/core/src/policy/discovery.rs
+++ b/crates/core/src/policy/discovery.rs
@@ -180,7 +180,8 @@
         let waiting: Vec<RequestId> = self.queues.iter().flatten().copied().collect();
         for id in waiting {
             if self.requests.get(&id).is_some_and(|r| r.waiting) {
-                self.answer_after(id, STALE_RETRY * (0.75 + 0.5 * draw(id.0, 0)), out);
+                let after = STALE_RETRY * (0.75 + 0.5 * draw(id.0, 0));
+                self.answer_after(id, after, RefusalReason::StaleList, out);
             }
         }
         let requests = &self.requests;
--- a/crates/core/src/policy/queue.rs
+++ b/crates/core/src/policy/queue.rs
@@ -27,7 +27,7 @@
         request.most = self.cfg.limits.max_attempts as usize;
         self.requests.insert(id, request);
         if budget < MARGIN {
-            return self.answer(id, out); // the next look could come too late for an answer in time
+            return self.answer(id, RefusalReason::TooLate, out); // the next look could come too late
         }
         self.enqueue(id, false);
     }
@@ -95,7 +95,7 @@
             let last = self.queues.iter().filter_map(|q| q.iter().rev().find(waits));
             let value = |id: &RequestId| self.value(&self.requests[id]);
             let Some(&id) = last.min_by(|a, b| value(a).total_cmp(&value(b))) else { return };
-            self.answer(id, out);
+            self.answer(id, RefusalReason::Overload, out);
         }
     }
 
--- a/crates/core/src/standing.rs
+++ b/crates/core/src/standing.rs
@@ -1,5 +1,7 @@
 //! How servers are treated, and other figures of a proxy at one moment.
 
+use crate::invariant::Violations;
+
 /// How a listed server is treated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -79,4 +81,6 @@
     pub retry_budget: f64,
     /// What the threshold has decided.
     pub choices: Choices,
+    /// How often a decision would have broken an invariant.
+    pub violations: Violations,
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,6 +1,7 @@
 //! All that one proxy's decisions know, and the plumbing of its queues. Nothing is decided here.
 use crate::bands::Bands;
 use crate::interface::*;
+use crate::invariant::Violations;
 use crate::message::Peer;
 use crate::number::draw;
 use crate::overlay::Overlay;
@@ -62,6 +63,7 @@
     pub(crate) overlay: Overlay,
     pub(crate) safe_traffic: bool, // a class on offer is safe to repeat
     pub(crate) choices: Choices,   // what the threshold has decided
+    pub(crate) violations: Violations,
 }
 
 impl Balancer {
--- a/crates/core/tests/choice.rs
+++ b/crates/core/tests/choice.rs
@@ -425,7 +425,7 @@
     for id in 0..60 {
         for action in hand.give(request(id, (id % 2) as usize, 5000.0)) {
             match action {
-                Action::Refuse { request, retry_after } => {
+                Action::Refuse { request, retry_after, .. } => {
                     assert!(retry_after.is_some_and(|after| after > 0.0));
                     given_up.push(request.0);
                 }
--- a/crates/core/tests/properties.rs
+++ b/crates/core/tests/properties.rs
@@ -20,6 +20,8 @@
     list: Vec<Backend>,
     ends: std::collections::HashMap<u64, (Millis, u32, bool)>,
     next: u64,
+    /// Of invariants, by all processes so far.
+    violations: u64,
     tamper: fn(&mut Vec<Action>),
 }
 
@@ -37,6 +39,7 @@
             list,
             ends: Default::default(),
             next: 0,
+            violations: 0,
             tamper,
         }
     }
@@ -126,6 +129,11 @@
     }
 
     fn run(mut self, span: Millis) -> Vec<String> {
+        self.play(span);
+        self.checker.breaches
+    }
+
+    fn play(&mut self, span: Millis) {
         let end = self.now + span;
         let entries = self.list.clone();
         self.give(Event::List { scope: Scope::Cached, entries });
@@ -155,7 +163,7 @@
             }
             self.checker.look(self.now);
         }
-        self.checker.breaches
+        self.violations += self.balancer.violations().total();
     }
 
     fn step(&mut self) {
@@ -163,6 +171,7 @@
             0..6 => self.change_list(),
             6 => {
                 // Killed and started again: nothing of what it held comes back.
+                self.violations += self.balancer.violations().total();
                 self.balancer = Balancer::new(self.settings.clone(), self.next);
                 self.checker.restart();
                 self.ends.clear();
@@ -225,6 +234,17 @@
     }
 }
 
+#[test]
+fn no_decision_breaks_an_invariant() {
+    for (v, settings) in variants().into_iter().enumerate() {
+        for seed in 0..12 {
+            let mut world = World::new(seed, settings.clone(), |_| {});
+            world.play(20_000.0);
+            assert_eq!(world.violations, 0, "variant {v}, seed {seed}");
+        }
+    }
+}
+
 #[test]
 fn equal_events_give_equal_actions() {
     let run = || {
@@ -264,7 +284,7 @@
         |out| {
             for a in out.iter_mut() {
                 if let Action::Fail(request) = *a {
-                    *a = Action::Refuse { request, retry_after: None };
+                    *a = Action::Refuse { request, retry_after: None, reason: RefusalReason::TooLate };
                 }
             }
         },
--- a/crates/lab/src/decide.rs
+++ b/crates/lab/src/decide.rs
@@ -1,6 +1,6 @@
 //! Who decides for a proxy: the core as in service, or a baseline to hold it against.
 
-use leadrelay_core::{Action, BackendId, Balancer, CallId, Event, RequestId, Scope, State};
+use leadrelay_core::{Action, BackendId, Balancer, CallId, Event, RefusalReason, RequestId, Scope, State};
 use rustc_hash::FxHashMap;
 
 use crate::draw::Draw;
@@ -24,6 +24,11 @@
         false
     }
 
+    /// How many of its decisions broke an invariant.
+    fn violations(&self) -> u64 {
+        0
+    }
+
     /// Until when it may send by the list that it holds, as far as it knows.
     fn list_valid_until(&self) -> f64 {
         f64::INFINITY
@@ -39,6 +44,10 @@
         true
     }
 
+    fn violations(&self) -> u64 {
+        Balancer::violations(self).total()
+    }
+
     fn list_valid_until(&self) -> f64 {
         Balancer::list_valid_until(self)
     }
@@ -139,7 +148,7 @@
             }
             None => {
                 self.open.remove(&id);
-                out.push(Action::Refuse { request: id, retry_after: None });
+                out.push(Action::Refuse { request: id, retry_after: None, reason: RefusalReason::TooLate });
             }
         }
     }
@@ -191,7 +200,7 @@
                     self.send(now, request, truth, out);
                 } else {
                     self.open.remove(&request);
-                    out.push(Action::Refuse { request, retry_after: None });
+                    out.push(Action::Refuse { request, retry_after: None, reason: RefusalReason::TooLate });
                 }
             }
             Event::Abandoned(id) => drop(self.open.remove(&id)),
--- a/crates/lab/src/wire.rs
+++ b/crates/lab/src/wire.rs
@@ -12,7 +12,7 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
-use leadrelay_core::{Action, BackendId, CallId, Event, Outcome, RequestId, Scope, State};
+use leadrelay_core::{Action, BackendId, CallId, Event, Outcome, RefusalReason, RequestId, Scope, State};
 use serde_json::json;
 
 use crate::day::Day;
@@ -77,7 +77,11 @@
             let timeout = number("maxWait").filter(|ms| *ms > 0.0);
             Some(Action::Send { request: request()?, backend, timeout })
         }
-        "TURN_AWAY" => Some(Action::Refuse { request: request()?, retry_after: number("retryAfter") }),
+        "TURN_AWAY" => Some(Action::Refuse {
+            request: request()?,
+            retry_after: number("retryAfter"),
+            reason: RefusalReason::TooLate,
+        }),
         "REPORT_FAILURE" => Some(Action::Fail(request()?)),
         "WAKE_ME" => {
             Some(Action::Timer { token: fields.get("keyBack")?.parse().ok()?, at: number("dueAt")? })
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -587,7 +587,12 @@
     fn tell(&mut self, p: usize, event: Event) {
         self.ledger.sums.events += 1;
         let mut actions = std::mem::take(&mut self.actions);
-        self.proxies[p].brain.handle(self.now, event, (&self.truth, &self.late), &mut actions);
+        let brain = &mut self.proxies[p].brain;
+        let violations = brain.violations();
+        brain.handle(self.now, event, (&self.truth, &self.late), &mut actions);
+        if brain.violations() > violations {
+            self.broken("no invariant is violated", format!("proxy {p}"));
+        }
         // What follows at once from an action is an event of its own, so this is never entered twice.
         for action in actions.drain(..) {
             self.perform(p, action);
@@ -601,7 +606,7 @@
             Action::Send { request, backend, timeout } => {
                 self.send(p, request.0 as usize, backend.0 as usize, timeout);
             }
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse { request, retry_after, .. } => {
                 let without_list = self.now >= self.proxies[p].brain.list_valid_until();
                 self.ledger.sums.refused_without_list += u64::from(without_list);
                 self.answer(request.0 as usize, Answer::Refused(retry_after.unwrap_or(0.0)));
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -1,7 +1,7 @@
 //! Small days, played whole.
 use std::path::{Path, PathBuf};
 
-use leadrelay_core::{Action, Event, Outcome};
+use leadrelay_core::{Action, Event, Outcome, RefusalReason};
 use leadrelay_lab::decide::Baseline;
 use leadrelay_lab::draw::Range;
 use leadrelay_lab::scenario::FaultKind;
@@ -104,7 +104,7 @@
         } = event
         {
             out.retain(|a| !matches!(a, Action::Fail(_)));
-            out.push(Action::Refuse { request: *request, retry_after: None });
+            out.push(Action::Refuse { request: *request, retry_after: None, reason: RefusalReason::TooLate });
         }
     };
     let repeats: fn(&Event, &mut Vec<Action>) = |event, out| {
--- a/crates/proxy/src/driver/live.rs
+++ b/crates/proxy/src/driver/live.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use leadrelay_core::{BackendId, Event, Millis, Outcome, RequestId, Upload};
+use leadrelay_core::{BackendId, Event, Invariant, Millis, Outcome, RefusalReason, RequestId, Upload};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use tracing::error;
+use tracing::{debug, error};
 
 use super::report::Report;
 use super::{Driver, Timer};
@@ -20,6 +20,9 @@
 /// The answer has to be on its way this long before the client gives up, whatever happens.
 const LAST_RESORT: Duration = Duration::from_millis(4);
 
+/// A final answer that is later than this is lost.
+const LATE_ANSWER: Duration = Duration::from_millis(500);
+
 /// A request that lacks its answer or has attempts out.
 pub struct LiveRequest {
     /// Where its answer goes; `None` once it has been taken.
@@ -44,6 +47,8 @@
     access_record: Option<Rc<AccessRecord>>,
     /// The last error that a backend sent, where clients may see it.
     backend_error: Option<Reply>,
+    /// How the last attempt ended.
+    last_outcome: Option<Outcome>,
 }
 
 impl Driver {
@@ -67,6 +72,14 @@
         let last = deadline - LAST_RESORT;
         let now = Instant::now();
         let budget = upload.unwrap_or(last.saturating_duration_since(now)).as_secs_f64() * 1000.0;
+        debug!(
+            number = id.0,
+            request = message.request_id(),
+            class = class.0,
+            budget_ms = budget.round(),
+            streamed = upload.is_some(),
+            "a request is accepted"
+        );
         self.live.insert(
             id,
             LiveRequest {
@@ -82,6 +95,7 @@
                 _open: open,
                 access_record,
                 backend_error: None,
+                last_outcome: None,
             },
         );
         self.tally.requests += 1;
@@ -139,10 +153,21 @@
             request,
             attempt: live.attempts,
             backend,
+            message: live.message.clone(),
             sent: live.sent.clone(),
             reported: false,
         };
         live.attempts += 1;
+        if let Some(last) = live.last_outcome {
+            self.parts.metrics.retried(last);
+        }
+        debug!(
+            request = live.message.request_id(),
+            attempt = report.attempt,
+            backend = self.backends.name(backend),
+            after = live.last_outcome.map(Outcome::name),
+            "an attempt begins"
+        );
         if let Some(access_record) = &live.access_record {
             access_record.sent(backend, self.backends.name(backend));
         }
@@ -168,6 +193,14 @@
         let Some(live) = self.live.get_mut(&request) else { return };
         live.attempts_out -= 1;
         let spent = live.message.is_spent();
+        live.last_outcome = Some(outcome);
+        debug!(
+            request = live.message.request_id(),
+            attempt,
+            outcome = outcome.name(),
+            latency_ms = latency.round(),
+            "an attempt has ended"
+        );
         self.tally.outcomes[outcome as usize] += 1;
         self.parts.metrics.attempt(outcome, latency);
         let was_open = live.answer.is_some();
@@ -195,11 +228,13 @@
     }
 
     /// Answers with the error that a backend sent, if there is one, or else that trying again is harmless.
-    pub(super) fn refuse(&mut self, id: RequestId, retry_after: Option<Millis>) {
+    pub(super) fn refuse(&mut self, id: RequestId, retry_after: Option<Millis>, reason: RefusalReason) {
+        self.parts.metrics.refused(reason);
         let tried = self.live.get(&id).is_some_and(|live| live.attempts > 0);
         let error = self.backend_error(id);
         if let Some(answer) = self.close(id, RequestState::Answered) {
             self.tally.refused[usize::from(tried)] += 1;
+            debug!(number = id.0, reason = reason.name(), tried, "a request is refused");
             let refused = Answer::Refused { after: retry_after, tried };
             let _ = answer.send(error.map_or(refused, Answer::Passed)); // a client that has left needs none
         }
@@ -224,6 +259,10 @@
         let live = self.live.get_mut(&id)?;
         live.state.set(to);
         let answer = live.answer.take();
+        let answers_late = answer.is_some() && live.upload.is_none() && live.deadline.elapsed() > LATE_ANSWER;
+        if answers_late && !(live.message.client_disconnected)() {
+            self.parts.metrics.violated(Invariant::AnsweredInTime, live.message.request_id());
+        }
         self.forget(id);
         answer
     }
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -14,7 +14,7 @@
 use rustc_hash::FxHashMap;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
-use tracing::{info, warn};
+use tracing::{error, info, warn};
 
 use crate::admin::Command;
 use crate::classes::Classes;
@@ -185,7 +185,11 @@
     fn handle(&mut self, event: Event) {
         let now = self.clock.at(Instant::now());
         let mut actions = std::mem::take(&mut self.actions);
+        let violations = *self.balancer.violations();
         self.balancer.handle(now, event, &mut actions);
+        if *self.balancer.violations() != violations {
+            error!(violations = ?self.balancer.violations(), "a decision breaks an invariant and is not carried out");
+        }
         for action in actions.drain(..) {
             self.perform(action);
         }
@@ -212,7 +216,7 @@
     fn perform(&mut self, action: Action) {
         match action {
             Action::Send { request, backend, timeout } => self.send(request, backend, timeout),
-            Action::Refuse { request, retry_after } => self.refuse(request, retry_after),
+            Action::Refuse { request, retry_after, reason } => self.refuse(request, retry_after, reason),
             Action::Fail(request) => self.fail(request),
             Action::Timer { token, at } => self.add_timer(self.clock.instant(at), Timer::Balancer(token)),
             Action::Broadcast(bytes) => {
--- a/crates/proxy/src/driver/report.rs
+++ b/crates/proxy/src/driver/report.rs
@@ -8,7 +8,7 @@
 use tracing::info;
 
 use crate::inbox::{Inbox, Input};
-use crate::upstream::Reply;
+use crate::upstream::{Outgoing, Reply};
 
 /// Reports how an attempt ended, exactly once: an attempt that dies on the way may have run.
 pub struct Report {
@@ -16,6 +16,8 @@
     pub request: RequestId,
     pub attempt: u32,
     pub backend: BackendId,
+    /// The request, for its id.
+    pub message: Rc<Outgoing>,
     /// When the request had gone out whole, as far as is known.
     pub sent: Rc<Cell<Instant>>,
     /// Whether the end has been reported.
@@ -30,7 +32,8 @@
         let (request, attempt) = (self.request, self.attempt);
         if outcome != Outcome::Served {
             let backend = format_args!("{:016x}", self.backend.0);
-            info!(backend = %backend, attempt, outcome = outcome.name(), latency_ms = latency.round(), "attempt failed");
+            let id = self.message.request_id();
+            info!(request = id, backend = %backend, attempt, outcome = outcome.name(), latency_ms = latency.round(), "attempt failed");
         }
         self.inbox.put(Input::Ended { request, attempt, latency, outcome, reply });
     }
--- a/crates/proxy/src/frontend/client.rs
+++ b/crates/proxy/src/frontend/client.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::REQUEST_TIMEOUT;
+use crate::close_reason::ClientClose;
 use crate::socket::has_ended;
 
 /// What a connection is doing. The order is the one in which connections are evicted.
@@ -52,7 +53,9 @@
     /// When it last took bytes of a streamed answer.
     pub(super) last_write: Cell<Instant>,
     /// Asks the connection's task to close it.
-    pub(super) close: Notify,
+    close: Notify,
+    /// Why it is closed, once that is known.
+    close_reason: Cell<Option<ClientClose>>,
 }
 
 /// The client has disconnected before its request was answered.
@@ -78,9 +81,31 @@
             streaming: Cell::new(false),
             last_write: Cell::new(now),
             close: Notify::new(),
+            close_reason: Cell::new(None),
         }
     }
 
+    /// Asks the connection's task to close it.
+    pub(super) fn ask_to_close(&self, reason: ClientClose) {
+        self.note_close(reason);
+        self.close.notify_one();
+    }
+
+    /// Returns once the connection has been asked to close.
+    pub(super) async fn asked_to_close(&self) {
+        self.close.notified().await;
+    }
+
+    /// Notes why the connection is closed, unless that is known.
+    pub(super) fn note_close(&self, reason: ClientClose) {
+        self.close_reason.set(self.close_reason.get().or(Some(reason)));
+    }
+
+    /// Why the connection has been closed.
+    pub(super) fn close_reason(&self) -> ClientClose {
+        self.close_reason.get().unwrap_or(ClientClose::ByClient)
+    }
+
     /// Returns once the client has closed the connection or it has been reset.
     ///
     /// Hyper notices that by reading, so not while pipelined bytes or an unread body precede the end; the system
--- a/crates/proxy/src/frontend/connection.rs
+++ b/crates/proxy/src/frontend/connection.rs
@@ -21,6 +21,7 @@
 use super::stages::GRACE;
 use super::{Frontend, MAX_HEAD_SIZE, REQUEST_TIMEOUT};
 use crate::cause::Cause;
+use crate::close_reason::ClientClose;
 use crate::socket::half_close;
 use crate::upstream::MessageBody;
 
@@ -61,8 +62,11 @@
         loop {
             tokio::select! {
                 biased; // what has arrived counts before a wish to close
-                _ = connection.as_mut() => break,
-                () = client.close.notified() => match client.begin_close() {
+                end = connection.as_mut() => {
+                    client.note_close(end_of(&end));
+                    break;
+                }
+                () = client.asked_to_close() => match client.begin_close() {
                     Close::AtOnce => return,
                     Close::Linger => break,
                     Close::Gracefully => {
@@ -74,12 +78,14 @@
                 () = sleep_until(client.last_write.get() + WRITE_TIMEOUT), if client.streaming.get() => {
                     if client.is_write_stalled() {
                         info!(client = %client.address, "a client takes nothing of its answer");
+                        client.note_close(ClientClose::WriteTimeout);
                         return;
                     }
                 }
                 // An answer that nobody reads would hold its socket for ever.
                 () = sleep_until(cut_at.unwrap_or_else(Instant::now)), if cut_at.is_some() => {
                     if client.stage.get() != Stage::InFlight {
+                        client.note_close(ClientClose::CloseTimeout);
                         return;
                     }
                     cut_at = Some(Instant::now() + CLOSE_TIMEOUT);
@@ -126,11 +132,20 @@
         self.set_stage(client, Stage::Lingering);
         tokio::select! {
             _ = timeout(LINGER_TIME, discard_input(&client.stream)) => {}
-            () = client.close.notified() => {}
+            () = client.asked_to_close() => {}
         }
     }
 }
 
+/// Why hyper has ended a connection.
+fn end_of(end: &hyper::Result<()>) -> ClientClose {
+    match end {
+        Ok(()) => ClientClose::WithAnswer,
+        Err(error) if error.is_parse() => ClientClose::Malformed,
+        Err(_) => ClientClose::ByClient,
+    }
+}
+
 impl Client {
     /// A request of which hyper has read the head, with what else is known of the head.
     fn received(&self, request: Request<Incoming>) -> Received {
--- a/crates/proxy/src/frontend/listener.rs
+++ b/crates/proxy/src/frontend/listener.rs
@@ -7,7 +7,7 @@
 
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{Instant, sleep, timeout};
-use tracing::warn;
+use tracing::{debug, warn};
 
 use super::Frontend;
 use super::budget::BACKEND_SHARE;
@@ -87,6 +87,13 @@
         }
     }
 
+    /// Counts and tells why a connection has been closed.
+    fn note_closed(&self, client: &Client) {
+        let reason = client.close_reason();
+        self.metrics.client_closed(reason);
+        debug!(client = %client.address, reason = reason.name(), "a client's connection is closed");
+    }
+
     fn spawn(self: Rc<Self>, stream: TcpStream, address: SocketAddr) {
         let _ = stream.set_nodelay(true); // slower without, no worse
         let client = Rc::new(Client::new(stream, address.ip(), self.queue_empty_at.get()));
@@ -95,6 +102,7 @@
         self.set_stage(&client, Stage::New);
         tokio::task::spawn_local(async move {
             self.serve_connection(&client).await;
+            self.note_closed(&client);
             self.set_stage(&client, Stage::InFlight);
             self.in_flight.set(self.in_flight.get() - 1);
             self.connections.set(self.connections.get() - 1);
--- a/crates/proxy/src/frontend/request.rs
+++ b/crates/proxy/src/frontend/request.rs
@@ -8,7 +8,7 @@
 use hyper::header;
 use hyper::http::request;
 use hyper::{Request, Response, StatusCode};
-use leadrelay_core::RequestId;
+use leadrelay_core::{Invariant, RequestId};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -21,7 +21,7 @@
 use crate::cause::Cause;
 use crate::config::Dialect;
 use crate::head::{self, Rejection, RequestMeta};
-use crate::inbox::{Answer, Arrival, Inbox, Input};
+use crate::inbox::{Answer, Arrival, Input};
 use crate::metrics::RequestTicket;
 use crate::open_ids::OpenId;
 use crate::upstream::{MessageBody, Outgoing, RequestBody, remove_hop_by_hop};
@@ -90,8 +90,9 @@
         let message = outgoing(head, body, &meta, client);
         let streamed = upload.is_some();
         let ready = ReadyRequest { id, meta, open_id, message, arrived_at, streamed };
+        let request = ready.meta.id.clone();
         let Submitted { answered, ticket } = self.submit(ready, client)?;
-        let cancel = CancelOnDrop { inbox: &self.inbox, id, armed: true };
+        let cancel = CancelOnDrop { frontend: self, client, id, request, armed: true };
         let answer = tokio::select! {
             biased;
             answer = answer_while_uploading(answered, upload) => answer,
@@ -239,8 +240,11 @@
 /// Tells the driver that the client has left, unless the request is answered first. Hyper drops the request's future
 /// if it notices that first.
 struct CancelOnDrop<'a> {
-    inbox: &'a Inbox,
+    frontend: &'a Frontend,
+    client: &'a Client,
     id: RequestId,
+    /// The request's own id.
+    request: String,
     armed: bool,
 }
 
@@ -252,8 +256,12 @@
 
 impl Drop for CancelOnDrop<'_> {
     fn drop(&mut self) {
-        if self.armed {
-            self.inbox.put(Input::Gone(self.id));
+        if !self.armed {
+            return;
+        }
+        self.frontend.inbox.put(Input::Gone(self.id));
+        if !self.client.has_disconnected() {
+            self.frontend.metrics.violated(Invariant::AnsweredBeforeClose, &self.request);
         }
     }
 }
--- a/crates/proxy/src/frontend/shutdown.rs
+++ b/crates/proxy/src/frontend/shutdown.rs
@@ -9,6 +9,7 @@
 
 use super::Frontend;
 use super::client::Stage;
+use crate::close_reason::ClientClose;
 use crate::inbox::Input;
 
 /// After SIGTERM connections still arrive for up to 0.4 s.
@@ -49,21 +50,21 @@
     async fn leave_to_successor(&self, listener: TcpListener) {
         drop(listener);
         sleep(HANDOVER_TIME).await;
-        self.close_all(Stage::Idle);
-        self.close_all(Stage::New);
+        self.close_all(Stage::Idle, ClientClose::Shutdown);
+        self.close_all(Stage::New, ClientClose::Shutdown);
     }
 
     /// Accepts connections for as long as the load balancer in front may still open any.
     async fn accept_last(self: &Rc<Self>, listener: TcpListener) {
         // Idle connections close now: a request that crosses that is sent again while connections are still accepted.
-        self.close_all(Stage::Idle);
+        self.close_all(Stage::Idle, ClientClose::Shutdown);
         let end = Instant::now() + ACCEPT_TIME;
         while timeout_at(end, self.clone().accept(&listener)).await.is_ok() {}
         let end = Instant::now() + ACCEPT_TIME; // a bound, should they never cease to arrive
         while Instant::now() < end && timeout(QUIET_TIME, self.clone().accept(&listener)).await.is_ok() {}
         drop(listener);
         sleep(FIRST_BYTE_TIME).await;
-        self.close_all(Stage::New);
+        self.close_all(Stage::New, ClientClose::Shutdown);
     }
 
     /// Waits until no request is in flight. One of which a part has arrived is waited for too.
@@ -73,7 +74,7 @@
                 warn!(open = self.in_flight.get(), "ended with requests open");
                 return;
             }
-            self.close_all(Stage::Idle); // whose answer has just gone out
+            self.close_all(Stage::Idle, ClientClose::Shutdown); // whose answer has just gone out
         }
     }
 
--- a/crates/proxy/src/frontend/stages.rs
+++ b/crates/proxy/src/frontend/stages.rs
@@ -7,6 +7,7 @@
 
 use super::Frontend;
 use super::client::{Client, Stage};
+use crate::close_reason::ClientClose;
 
 /// A connection between requests may be closed after 2 s, no sooner, and is when descriptors run short.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(2050);
@@ -51,7 +52,7 @@
             let min_age = if any_age { Duration::ZERO } else { min_age };
             let oldest = connections.first_entry();
             if let Some(oldest) = oldest.filter(|entry| entry.get().stage_since.get().elapsed() >= min_age) {
-                oldest.remove().close.notify_one();
+                oldest.remove().ask_to_close(ClientClose::Evicted);
                 return true;
             }
         }
@@ -59,8 +60,8 @@
     }
 
     /// Asks all connections of a stage to close.
-    pub(super) fn close_all(&self, stage: Stage) {
-        self.by_stage.borrow()[stage as usize].values().for_each(|client| client.close.notify_one());
+    pub(super) fn close_all(&self, stage: Stage, reason: ClientClose) {
+        self.by_stage.borrow()[stage as usize].values().for_each(|client| client.ask_to_close(reason));
     }
 
     /// Asks the connections whose time is up to close.
@@ -72,10 +73,14 @@
             .iter()
             .flat_map(|stage| by_stage[*stage as usize].values())
             .filter(|client| client.request_due.get() <= now);
-        let max_idle_time = if self.draining() { MIN_IDLE_TIME } else { MAX_IDLE_TIME };
+        let (max_idle_time, reason) = match self.draining() {
+            true => (MIN_IDLE_TIME, ClientClose::Drained),
+            false => (MAX_IDLE_TIME, ClientClose::Idle),
+        };
         let idle = by_stage[Stage::Idle as usize]
             .values()
             .take_while(|client| now - client.stage_since.get() >= max_idle_time);
-        overdue.chain(idle).for_each(|client| client.close.notify_one());
+        overdue.for_each(|client| client.ask_to_close(ClientClose::RequestTimeout));
+        idle.for_each(|client| client.ask_to_close(reason));
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 mod body_stream;
 mod cause;
 mod classes;
+mod close_reason;
 pub mod config;
 mod discovery;
 mod driver;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, PoisonError};
 
-use leadrelay_core::{Gauges, Outcome, Standing};
+use leadrelay_core::{Gauges, Invariant, Outcome, RefusalReason, Standing};
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -14,9 +14,12 @@
 use prometheus_client::registry::{Registry, Unit};
 use serde_json::{Value, json};
 use tokio::time::Instant;
+use tracing::error;
 
 use crate::access_record::AccessRecord;
 use crate::cause::Cause;
+use crate::close_reason::{BackendClose, ClientClose};
+use crate::upstream::Denial;
 
 /// A label that is one of a few fixed words.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -59,6 +62,26 @@
     choice: Word,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByReason {
+    reason: Word,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByInvariant {
+    invariant: Word,
+    layer: Word,
+}
+
+/// Counters by reason, each shown from the start.
+fn by_reason<const N: usize>(
+    registry: &mut Registry, name: &str, help: &str, reasons: [&'static str; N],
+) -> [Counter; N] {
+    let family = Family::<ByReason, Counter>::default();
+    registry.register(name, help, family.clone());
+    reasons.map(|reason| family.get_or_create_owned(&ByReason { reason: Word(reason) }))
+}
+
 /// Upper bounds of the buckets for times, in seconds.
 const BUCKETS: [f64; 14] =
     [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0];
@@ -94,6 +117,16 @@
     running: Gauge,
     retry_budget: Gauge<f64, AtomicU64>,
     connections: [Gauge<i64, AtomicI64>; 2],
+    /// What would have broken an invariant, had the core carried it out.
+    decision_violations: [Counter; Invariant::COUNT],
+    /// What broke an invariant at a socket.
+    socket_violations: [Counter; Invariant::COUNT],
+    /// Sends that were denied at the last moment.
+    denials: [Counter; Denial::ALL.len()],
+    refusals: [Counter; RefusalReason::COUNT],
+    retries: [Counter; Outcome::COUNT],
+    client_closes: [Counter; ClientClose::ALL.len()],
+    backend_closes: [Counter; BackendClose::ALL.len()],
     /// Files taken.
     pub config_reloads: Counter,
     /// Files turned down.
@@ -160,6 +193,29 @@
         registry.register("connections", "Open connections", by_side.clone());
         let connections =
             ["clients", "backends"].map(|s| by_side.get_or_create_owned(&BySide { side: Word(s) }));
+        let violations = Family::<ByInvariant, Counter>::default();
+        let help = "Violations of the proxy's own invariants, each a fault of the program, by the layer that saw them";
+        registry.register("invariant_violations", help, violations.clone());
+        let in_layer = |layer: &'static str| {
+            Invariant::ALL.map(|invariant| {
+                let labels = ByInvariant { invariant: Word(invariant.name()), layer: Word(layer) };
+                violations.get_or_create_owned(&labels)
+            })
+        };
+        let (decision_violations, socket_violations) = (in_layer("decision"), in_layer("socket"));
+        let help = "Attempts denied as their first byte was to be written";
+        let denials = by_reason(&mut registry, "attempts_denied", help, Denial::ALL.map(Denial::name));
+        let help = "Requests refused by a decision";
+        let refusals =
+            by_reason(&mut registry, "refusals", help, RefusalReason::ALL.map(RefusalReason::name));
+        let help = "Further attempts, by how the one before ended";
+        let retries = by_reason(&mut registry, "retries", help, Outcome::ALL.map(Outcome::name));
+        let help = "Closed connections of clients";
+        let names = ClientClose::ALL.map(ClientClose::name);
+        let client_closes = by_reason(&mut registry, "client_connections_closed", help, names);
+        let help = "Closed connections to backends";
+        let names = BackendClose::ALL.map(BackendClose::name);
+        let backend_closes = by_reason(&mut registry, "backend_connections_closed", help, names);
         let (config_reloads, config_reload_errors) = (Counter::default(), Counter::default());
         registry.register("config_reloads", "Configuration files taken at SIGHUP", config_reloads.clone());
         let help = "Configuration files turned down at SIGHUP";
@@ -181,6 +237,13 @@
             running,
             retry_budget,
             connections,
+            decision_violations,
+            socket_violations,
+            denials,
+            refusals,
+            retries,
+            client_closes,
+            backend_closes,
             config_reloads,
             config_reload_errors,
             ready: AtomicBool::new(false),
@@ -281,12 +344,46 @@
         for (counter, count) in self.choices.iter().zip(now.choices) {
             counter.inner().store(count, Relaxed);
         }
+        for (counter, invariant) in self.decision_violations.iter().zip(Invariant::ALL) {
+            counter.inner().store(now.violations.count(invariant), Relaxed);
+        }
         self.list_valid.set(i64::from(now.list_valid));
         self.waiting.set(now.waiting as i64);
         self.running.set(now.running as i64);
         self.retry_budget.set(now.retry_budget);
     }
 
+    /// Counts a violation of an invariant at a socket, and tells of it.
+    pub fn violated(&self, invariant: Invariant, request: &str) {
+        error!(invariant = invariant.name(), request, "an invariant is violated");
+        self.socket_violations[invariant as usize].inc();
+    }
+
+    /// Counts a send that was denied at the last moment.
+    pub fn denied(&self, denial: Denial) {
+        self.denials[denial as usize].inc();
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: RefusalReason) {
+        self.refusals[reason as usize].inc();
+    }
+
+    /// Counts a further attempt, by how the one before ended.
+    pub fn retried(&self, after: Outcome) {
+        self.retries[after as usize].inc();
+    }
+
+    /// Counts a closed connection of a client.
+    pub fn client_closed(&self, reason: ClientClose) {
+        self.client_closes[reason as usize].inc();
+    }
+
+    /// Counts a closed connection to a backend.
+    pub fn backend_closed(&self, reason: BackendClose) {
+        self.backend_closes[reason as usize].inc();
+    }
+
     /// Notes how many connections are open.
     pub fn connected(&self, clients: usize, backends: usize) {
         self.connections[0].set(clients as i64);
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -21,6 +21,7 @@
 use super::pool::Upstreams;
 use super::request_progress::RequestProgress;
 use crate::body_stream::BodyStream;
+use crate::close_reason::BackendClose;
 
 /// Longest wait until a connection is ready for its next request.
 const READY_TIMEOUT: Duration = Duration::from_secs(1);
@@ -78,7 +79,10 @@
                 self.release(sent.connection, &attempt.endpoint, outcome, reusable).await;
             }
             // The connection is dropped, never used again.
-            Err(error) => report(error.outcome(&sent.connection.progress, address), None),
+            Err(error) => {
+                let request = attempt.outgoing.request_id();
+                report(error.outcome(&sent.connection.progress, address, request), None)
+            }
         }
     }
 
@@ -169,6 +173,10 @@
         if ready && endpoint.is_open() && may_idle {
             let idle = IdleConnection { connection, since: Instant::now() };
             endpoint.idle.borrow_mut().push(idle);
+        } else {
+            let reason =
+                if endpoint.is_open() { BackendClose::NotReusable } else { BackendClose::OutOfService };
+            connection.close_reason.set(reason);
         }
     }
 }
@@ -179,14 +187,18 @@
         if !self.endpoint.is_open() || self.state.get() != RequestState::Pending {
             return None;
         }
-        let AttemptRequest { request, body_length } =
+        let prepared_at = Instant::now();
+        let AttemptRequest { request, body_length, timeout } =
             self.outgoing.for_attempt(self.deadline, &connection.progress)?;
-        connection.progress.start(self.guard(), body_length);
+        let told_deadline = timeout.map(|timeout| prepared_at + timeout);
+        connection.progress.start(self.guard(prepared_at, told_deadline), body_length);
         Some(request)
     }
 
-    fn guard(&self) -> SendGuard {
+    fn guard(&self, prepared_at: Instant, told_deadline: Option<Instant>) -> SendGuard {
         SendGuard {
+            prepared_at,
+            told_deadline,
             list_valid_until: self.list_valid_until.clone(),
             endpoint: self.endpoint.clone(),
             state: self.state.clone(),
@@ -206,13 +218,13 @@
 
 impl SendError {
     /// The attempt's outcome. Whatever fails before the request's last byte is written proves that it never ran.
-    fn outcome(&self, progress: &RequestProgress, backend: SocketAddr) -> Outcome {
+    fn outcome(&self, progress: &RequestProgress, backend: SocketAddr, request: &str) -> Outcome {
         let given_up = progress.denied.get() || progress.body_failed.get();
         match self {
             SendError::Exchange(_) if given_up => Outcome::Moot,
             _ if !progress.complete() => Outcome::ConnectFailed,
             SendError::Exchange(error) => {
-                info!(%backend, error = error.to_string(), "an answer broke");
+                info!(request, %backend, error = error.to_string(), "an answer broke");
                 Outcome::Reset
             }
             SendError::TimedOut => Outcome::TimedOut,
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -1,5 +1,6 @@
 //! One connection to a backend.
 
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -13,6 +14,7 @@
 
 use super::message::MessageBody;
 use super::request_progress::RequestProgress;
+use crate::close_reason::BackendClose;
 use crate::socket::{Peeked, half_close, peek, poll_read, poll_write};
 
 /// A connection to a backend; dropping it closes the socket.
@@ -26,10 +28,13 @@
     pub(super) task: JoinHandle<()>,
     /// It has carried no request yet.
     pub(super) first: bool,
+    /// Why it is closed, once it is dropped.
+    pub(super) close_reason: Cell<BackendClose>,
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        self.progress.connection_closed(self.close_reason.get());
         self.task.abort();
     }
 }
--- a/crates/proxy/src/upstream/dial.rs
+++ b/crates/proxy/src/upstream/dial.rs
@@ -35,7 +35,8 @@
         let task = tokio::task::spawn_local(async move {
             let _ = connection.await; // the request in flight sees the error
         });
-        Ok(Connection { sender, progress, stream, _permit: permit, task, first: true })
+        let close_reason = Cell::default();
+        Ok(Connection { sender, progress, stream, _permit: permit, task, first: true, close_reason })
     }
 
     /// Waits for a socket of the budget. If there is none, the longest idle connection gives up its own.
--- a/crates/proxy/src/upstream/endpoint.rs
+++ b/crates/proxy/src/upstream/endpoint.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use super::connection::Connection;
+use crate::close_reason::BackendClose;
 
 /// An idle connection is not reused for this span while there is another: a backend that answers twice does so by
 /// then.
@@ -47,7 +48,7 @@
     pub fn set_open(&self, open: bool) {
         self.closed.set(!open);
         if !open {
-            self.idle.borrow_mut().clear();
+            self.close_idle(BackendClose::OutOfService, |_| true);
         }
     }
 
@@ -55,7 +56,7 @@
     pub fn set_banned(&self, banned: bool) {
         self.banned.set(banned);
         if banned {
-            self.idle.borrow_mut().clear();
+            self.close_idle(BackendClose::OutOfService, |_| true);
         }
     }
 
@@ -64,6 +65,17 @@
         !self.closed.get() && !self.banned.get()
     }
 
+    /// Closes the idle connections that are no longer wanted, for this reason.
+    pub(super) fn close_idle(&self, reason: BackendClose, unwanted: impl Fn(&IdleConnection) -> bool) {
+        self.idle.borrow_mut().retain(|idle| {
+            let closes = unwanted(idle);
+            if closes {
+                idle.connection.close_reason.set(reason);
+            }
+            !closes
+        });
+    }
+
     /// Removes the idle connection to use next.
     pub(super) fn take_idle(&self) -> Option<IdleConnection> {
         let mut idle = self.idle.borrow_mut();
--- a/crates/proxy/src/upstream/guard.rs
+++ b/crates/proxy/src/upstream/guard.rs
@@ -2,7 +2,9 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
+use leadrelay_core::Invariant;
 use tokio::time::Instant;
 
 use super::endpoint::Endpoint;
@@ -19,6 +21,48 @@
     Abandoned,
 }
 
+/// By how much the time told to a backend may exceed what the client has left: a process may be held up between reading
+/// its clock and writing.
+const DEADLINE_SLACK: Duration = Duration::from_millis(150);
+
+/// Why the first byte of a request may not be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Denial {
+    /// The server list may be out of date.
+    ListStale,
+    /// The backend takes nothing new.
+    OutOfService,
+    /// The request has its answer, or is given up.
+    RequestClosed,
+    /// The client has disconnected.
+    ClientDisconnected,
+}
+
+impl Denial {
+    /// All of them.
+    pub const ALL: [Denial; 4] =
+        [Denial::ListStale, Denial::OutOfService, Denial::RequestClosed, Denial::ClientDisconnected];
+
+    /// Its name in figures and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Denial::ListStale => "list_stale",
+            Denial::OutOfService => "out_of_service",
+            Denial::RequestClosed => "request_closed",
+            Denial::ClientDisconnected => "client_disconnected",
+        }
+    }
+
+    /// The invariant that a send would break.
+    fn invariant(self) -> Invariant {
+        match self {
+            Denial::ListStale => Invariant::ListCurrent,
+            Denial::OutOfService => Invariant::BackendInService,
+            Denial::RequestClosed | Denial::ClientDisconnected => Invariant::RequestOpen,
+        }
+    }
+}
+
 /// What must hold when the first byte of a request is written. Each part may have changed while the connection was
 /// being opened.
 pub(super) struct SendGuard {
@@ -27,18 +71,41 @@
     pub(super) endpoint: Rc<Endpoint>,
     pub(super) state: Rc<Cell<RequestState>>,
     pub(super) outgoing: Rc<Outgoing>,
+    /// When the time is over that the backend is told of, if that has begun.
+    pub(super) told_deadline: Option<Instant>,
+    /// When the request was prepared, from which the backend's time is reckoned.
+    pub(super) prepared_at: Instant,
 }
 
 impl SendGuard {
-    /// Whether the request may be sent: the list is valid, the backend takes work, and the request is pending and its
-    /// client connected.
+    /// Why the request may not be sent: the list is not valid, the backend takes no work, the request is not pending
+    /// or its client not connected.
     ///
     /// The client's own socket is asked as well: the driver may hear of a client that disconnects while the
     /// connection comes up only after the first byte.
-    pub(super) fn permits_send(&self) -> bool {
-        Instant::now() < self.list_valid_until.get()
-            && self.endpoint.is_open()
-            && self.state.get() == RequestState::Pending
-            && !(self.outgoing.client_disconnected)()
+    pub(super) fn denial(&self) -> Option<Denial> {
+        if Instant::now() >= self.list_valid_until.get() {
+            Some(Denial::ListStale)
+        } else if !self.endpoint.is_open() {
+            Some(Denial::OutOfService)
+        } else if self.state.get() != RequestState::Pending {
+            Some(Denial::RequestClosed)
+        } else if (self.outgoing.client_disconnected)() {
+            Some(Denial::ClientDisconnected)
+        } else {
+            None
+        }
+    }
+
+    /// The invariants that a first byte breaks which has just been written. The process may have been held up since
+    /// the guard was asked, and something may have written past it.
+    pub(super) fn violations(&self) -> impl Iterator<Item = Invariant> + use<> {
+        let denied = self.denial().filter(|denial| *denial != Denial::ClientDisconnected);
+        let late = self.prepared_at.elapsed() > DEADLINE_SLACK;
+        let told_too_much = late && self.told_deadline.is_some_and(|deadline| Instant::now() < deadline);
+        denied
+            .map(Denial::invariant)
+            .into_iter()
+            .chain(told_too_much.then_some(Invariant::DeadlinePropagated))
     }
 }
--- a/crates/proxy/src/upstream/message.rs
+++ b/crates/proxy/src/upstream/message.rs
@@ -63,9 +63,16 @@
     pub(super) request: Request<MessageBody>,
     /// Bytes of its body, or `UNKNOWN_LENGTH`.
     pub(super) body_length: usize,
+    /// The time that its backend is told, unless that begins only with the body's last byte.
+    pub(super) timeout: Option<Duration>,
 }
 
 impl Outgoing {
+    /// The request's id; empty if it has none that can be shown.
+    pub fn request_id(&self) -> &str {
+        self.headers.get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or_default()
+    }
+
     /// Whether a streamed body has been handed to an attempt, so that no other can send it.
     pub fn is_spent(&self) -> bool {
         matches!(&self.body, RequestBody::Streamed(upload) if upload.stream.borrow().is_none())
@@ -93,7 +100,8 @@
         *request.headers_mut() = self.headers.clone();
         let seconds = HeaderValue::from_str(&format!("{:.3}", answer_timeout.as_secs_f64())).ok()?;
         request.headers_mut().insert("x-timeout", seconds);
-        Some(AttemptRequest { request, body_length })
+        let timeout = matches!(self.body, RequestBody::Buffered { .. }).then_some(answer_timeout);
+        Some(AttemptRequest { request, body_length, timeout })
     }
 }
 
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -11,9 +11,10 @@
 use tokio::time::{Instant, timeout};
 
 use super::connection::Connection;
-use super::endpoint::{Endpoint, IdleConnection};
+use super::endpoint::Endpoint;
 use super::keep_alive::KeepAlive;
 use crate::body_stream::Memory;
+use crate::close_reason::BackendClose;
 use crate::metrics::Metrics;
 
 /// An idle connection is closed after this fraction of the span after which its backend would close it.
@@ -84,10 +85,10 @@
     /// holds.
     pub fn sweep(&self) {
         let now = Instant::now();
-        let is_fresh =
-            |idle: &IdleConnection| now - idle.since < self.keep.span() && idle.connection.is_alive();
+        let span = self.keep.span();
         self.endpoints.borrow_mut().retain(|endpoint| {
-            endpoint.idle.borrow_mut().retain(is_fresh);
+            endpoint.close_idle(BackendClose::Idle, |idle| now - idle.since >= span);
+            endpoint.close_idle(BackendClose::ByBackend, |idle| !idle.connection.is_alive());
             Rc::strong_count(endpoint) > 1
         });
     }
@@ -101,7 +102,7 @@
         }
         let now = Instant::now();
         for endpoint in self.endpoints.borrow().iter() {
-            endpoint.idle.borrow_mut().retain(|idle| now - idle.since < span);
+            endpoint.close_idle(BackendClose::Idle, |idle| now - idle.since >= span);
         }
     }
 
@@ -114,16 +115,20 @@
             .filter_map(|endpoint| Some((idle_since(endpoint)?, endpoint)))
             .min_by_key(|(since, _)| *since);
         if let Some((_, endpoint)) = oldest {
-            endpoint.idle.borrow_mut().remove(0);
+            let idle = endpoint.idle.borrow_mut().remove(0);
+            idle.connection.close_reason.set(BackendClose::Evicted);
         }
     }
 
     /// Takes an idle connection, or dials where there is none.
     pub(super) async fn connect(&self, endpoint: &Endpoint) -> io::Result<Connection> {
         while let Some(idle) = endpoint.take_idle() {
-            if idle.since.elapsed() < self.keep.span() && idle.connection.is_alive() {
-                return Ok(idle.connection);
-            }
+            let reason = match idle.since.elapsed() < self.keep.span() {
+                true if idle.connection.is_alive() => return Ok(idle.connection),
+                true => BackendClose::ByBackend,
+                false => BackendClose::Idle,
+            };
+            idle.connection.close_reason.set(reason);
         }
         timeout(self.dial_timeout.get(), self.dial(endpoint.address)).await?
     }
--- a/crates/proxy/src/upstream/request_progress.rs
+++ b/crates/proxy/src/upstream/request_progress.rs
@@ -6,8 +6,10 @@
 
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
+use tracing::debug;
 
 use super::guard::{RequestState, SendGuard};
+use crate::close_reason::BackendClose;
 use crate::metrics::Metrics;
 
 /// Once an answer has begun, its next bytes must arrive within this span. An answer that is shorter than its length
@@ -66,6 +68,11 @@
         self.body_failed.set(false);
     }
 
+    /// Counts that the connection is closed.
+    pub(super) fn connection_closed(&self, reason: BackendClose) {
+        self.metrics.iter().for_each(|metrics| metrics.backend_closed(reason));
+    }
+
     /// Records that the last byte of a streamed body has been taken, and when its answer times out.
     ///
     /// A body of unknown length still has its last chunk to come, five bytes at least: it counts as complete with
@@ -124,7 +131,22 @@
     }
 
     fn may_begin(&self) -> bool {
-        self.guard.borrow().as_ref().is_some_and(SendGuard::permits_send)
+        let guard = self.guard.borrow();
+        let Some(guard) = guard.as_ref() else { return false };
+        let denial = guard.denial();
+        if let Some(denial) = denial {
+            debug!(request = guard.outgoing.request_id(), reason = denial.name(), "an attempt is denied");
+            self.metrics.iter().for_each(|metrics| metrics.denied(denial));
+        }
+        denial.is_none()
+    }
+
+    /// Counts the invariants that the request's first byte breaks, once it has been written.
+    fn verify_begin(&self) {
+        let (guard, metrics) = (self.guard.borrow(), self.metrics.as_ref());
+        let Some((guard, metrics)) = guard.as_ref().zip(metrics) else { return };
+        let request = guard.outgoing.request_id();
+        guard.violations().for_each(|invariant| metrics.violated(invariant, request));
     }
 
     /// An incomplete request never runs, so it ends here once its client has left. One that has its answer is
@@ -136,7 +158,10 @@
 
     /// Records bytes of the request that have been written.
     pub(super) fn record_written(&self, bytes: &[u8]) {
-        self.begun.set(self.begun.get() || !bytes.is_empty());
+        if !self.begun.get() && !bytes.is_empty() {
+            self.begun.set(true);
+            self.verify_begin();
+        }
         let was_complete = self.complete();
         self.advance(bytes);
         if let Some(metrics) = self.metrics.as_ref().filter(|_| !was_complete && self.complete()) {
--- a/crates/proxy/src/upstream/tests/units.rs
+++ b/crates/proxy/src/upstream/tests/units.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
+use leadrelay_core::Invariant;
 use tokio::time::Instant;
 
 use super::{outgoing, valid};
@@ -13,17 +14,27 @@
 use crate::upstream::guard::{RequestState, SendGuard};
 use crate::upstream::headers::remove_hop_by_hop;
 use crate::upstream::keep_alive::KeepAlive;
+use crate::upstream::message::Outgoing;
 use crate::upstream::request_progress::RequestProgress;
 
+/// A guard of a request that is sent at once.
+fn guard(endpoint: &Rc<Endpoint>, state: &Rc<Cell<RequestState>>, outgoing: Rc<Outgoing>) -> SendGuard {
+    SendGuard {
+        list_valid_until: valid(),
+        endpoint: endpoint.clone(),
+        state: state.clone(),
+        outgoing,
+        told_deadline: None,
+        prepared_at: Instant::now(),
+    }
+}
+
 fn started(body: usize) -> (RequestProgress, Rc<Endpoint>, Rc<Cell<RequestState>>) {
     let endpoint = Endpoint::new("127.0.0.1:1".parse().expect("an address"), 0.0);
     let state = Rc::new(Cell::new(RequestState::Pending));
     let meter = RequestProgress::default();
     let outgoing = outgoing(Bytes::new(), false);
-    meter.start(
-        SendGuard { list_valid_until: valid(), endpoint: endpoint.clone(), state: state.clone(), outgoing },
-        body,
-    );
+    meter.start(guard(&endpoint, &state, outgoing), body);
     (meter, endpoint, state)
 }
 
@@ -56,10 +67,7 @@
     assert!(meter.admit());
     assert!(!RequestProgress::default().admit(), "nothing is written between requests");
     let (meter, endpoint, state) = started(0);
-    meter.start(
-        SendGuard { list_valid_until: valid(), endpoint, state, outgoing: outgoing(Bytes::new(), true) },
-        0,
-    );
+    meter.start(guard(&endpoint, &state, outgoing(Bytes::new(), true)), 0);
     assert!(!meter.admit() && meter.denied.get(), "its client has left");
 }
 
@@ -68,7 +76,8 @@
     let (meter, endpoint, state) = started(0);
     let list_valid_until = valid();
     let outgoing = outgoing(Bytes::new(), false);
-    meter.start(SendGuard { list_valid_until: list_valid_until.clone(), endpoint, state, outgoing }, 0);
+    let guard = guard(&endpoint, &state, outgoing);
+    meter.start(SendGuard { list_valid_until: list_valid_until.clone(), ..guard }, 0);
     list_valid_until.set(Instant::now());
     assert!(!meter.admit() && meter.denied.get());
     list_valid_until.set(Instant::now() + Duration::from_secs(3600));
@@ -78,6 +87,30 @@
     assert!(meter.admit(), "what has begun is finished");
 }
 
+#[test]
+fn what_a_first_byte_breaks_past_the_guard_is_counted() {
+    let (_, endpoint, state) = started(0);
+    let broken = |guard: &SendGuard| guard.violations().collect::<Vec<_>>();
+    let guard = |at: Instant, told: Duration| SendGuard {
+        prepared_at: at,
+        told_deadline: Some(at + told),
+        ..guard(&endpoint, &state, outgoing(Bytes::new(), false))
+    };
+    let now = Instant::now();
+    assert_eq!(broken(&guard(now, Duration::from_secs(60))), []);
+    let late = now - Duration::from_millis(200);
+    assert_eq!(broken(&guard(late, Duration::from_secs(60))), [Invariant::DeadlinePropagated]);
+    assert_eq!(broken(&guard(late, Duration::from_millis(100))), [], "its time was over before");
+    endpoint.set_open(false);
+    assert_eq!(broken(&guard(now, Duration::from_secs(60))), [Invariant::BackendInService]);
+    endpoint.set_open(true);
+    state.set(RequestState::Answered);
+    assert_eq!(broken(&guard(now, Duration::from_secs(60))), [Invariant::RequestOpen]);
+    let stale =
+        SendGuard { list_valid_until: Rc::new(Cell::new(now)), ..guard(now, Duration::from_secs(60)) };
+    assert_eq!(broken(&stale), [Invariant::ListCurrent]);
+}
+
 #[test]
 fn headers_of_one_connection_go_no_further() {
     let mut headers = HeaderMap::new();
--- a/crates/wire/src/wire.rs
+++ b/crates/wire/src/wire.rs
@@ -270,7 +270,7 @@
                     None => writeln!(reply),
                 }
             }
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse { request, retry_after, .. } => {
                 let Some(known) = self.requests.get_mut(&request.0) else { return };
                 known.done = true;
                 let _ = write!(reply, "TURN_AWAY\ti={i}\trid={}", known.name);
