Soak test: small fleets of real proxies on loopback under overlapping troubles

leadrelay-soak plays fleets of two or three real processes each with stand-in clients, backends and discovery on real sockets, many seeds side by side.

--- /dev/null
+++ b/crates/soak/src/http.rs
@@ -0,0 +1,142 @@
+//! As much of HTTP/1.1 as the stand-ins need.
+
+use std::io;
+
+use tokio::io::{AsyncRead, AsyncReadExt as _};
+
+/// Longest head that is read.
+const MAX_HEAD: usize = 64 << 10;
+/// Bytes that are read at a time.
+const PIECE: usize = 64 << 10;
+
+/// A message without its body.
+#[derive(Clone, Debug, Default)]
+pub struct Head {
+    /// The first line.
+    pub first: String,
+    headers: Vec<(String, String)>,
+}
+
+impl Head {
+    fn parse(text: &str) -> Self {
+        let mut lines = text.split("\r\n");
+        let first = lines.next().unwrap_or_default().to_owned();
+        let headers = lines.filter_map(|line| line.split_once(':'));
+        let headers =
+            headers.map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned())).collect();
+        Head { first, headers }
+    }
+
+    /// The value of a header, by its name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
+    }
+
+    /// The status of an answer; 0 where there is none.
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
+    }
+
+    /// Whether the connection ends with this message.
+    pub fn closes(&self) -> bool {
+        self.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
+    }
+}
+
+/// Reads messages from one side of a connection.
+pub struct Reader<R> {
+    stream: R,
+    unread: Vec<u8>,
+}
+
+impl<R: AsyncRead + Unpin> Reader<R> {
+    /// Nothing has been read yet.
+    pub fn new(stream: R) -> Self {
+        Reader { stream, unread: Vec::new() }
+    }
+
+    /// Waits until there is something to read; whether there is, and no end.
+    pub async fn begun(&mut self) -> io::Result<bool> {
+        Ok(!self.unread.is_empty() || self.fill().await? > 0)
+    }
+
+    /// Reads a head; `None` if the connection ends before one has begun.
+    pub async fn head(&mut self) -> io::Result<Option<Head>> {
+        loop {
+            if let Some(end) = find(&self.unread, b"\r\n\r\n") {
+                let head = Head::parse(&String::from_utf8_lossy(&self.unread[..end]));
+                self.unread.drain(..end + 4);
+                return Ok(Some(head));
+            }
+            if self.unread.len() > MAX_HEAD {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+            if self.fill().await? == 0 {
+                return if self.unread.is_empty() {
+                    Ok(None)
+                } else {
+                    Err(io::ErrorKind::UnexpectedEof.into())
+                };
+            }
+        }
+    }
+
+    /// Reads the body that belongs to a head and drops it; returns its length.
+    pub async fn body(&mut self, head: &Head) -> io::Result<usize> {
+        if head.header("transfer-encoding").is_some() {
+            return self.chunked_body().await;
+        }
+        let length = head.header("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+        self.skip(length).await?;
+        Ok(length)
+    }
+
+    async fn chunked_body(&mut self) -> io::Result<usize> {
+        let mut total = 0;
+        loop {
+            let line = self.line().await?;
+            let size = usize::from_str_radix(line.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
+            self.skip(size + 2).await?;
+            total += size;
+            if size == 0 {
+                return Ok(total);
+            }
+        }
+    }
+
+    async fn line(&mut self) -> io::Result<String> {
+        loop {
+            if let Some(end) = find(&self.unread, b"\r\n") {
+                let line = String::from_utf8_lossy(&self.unread[..end]).into_owned();
+                self.unread.drain(..end + 2);
+                return Ok(line);
+            }
+            self.fill_or_fail().await?;
+        }
+    }
+
+    async fn skip(&mut self, mut length: usize) -> io::Result<()> {
+        while length > 0 {
+            if self.unread.is_empty() {
+                self.fill_or_fail().await?;
+            }
+            let taken = length.min(self.unread.len());
+            self.unread.drain(..taken);
+            length -= taken;
+        }
+        Ok(())
+    }
+
+    async fn fill_or_fail(&mut self) -> io::Result<()> {
+        if self.fill().await? == 0 { Err(io::ErrorKind::UnexpectedEof.into()) } else { Ok(()) }
+    }
+
+    async fn fill(&mut self) -> io::Result<usize> {
+        self.unread.reserve(PIECE);
+        self.stream.read_buf(&mut self.unread).await
+    }
+}
+
+fn find(bytes: &[u8], part: &[u8]) -> Option<usize> {
+    bytes.windows(part.len()).position(|window| window == part)
+}
