A keyed repeat is held against its window as its first byte is written

Cause: policy/threshold.rs, choose, looks at the window as it decides; upstream/attempt.rs then opens a connection, for as long as the dial's time-out, and guard.rs, the check at the first byte, did not know the window. A send now carries until when it may begin; the wait for a connection ends with that, and the guard denies the first byte after it (reason repeat_window_over).

Ruled out: the first attempt's send being taken too late (it is the moment of the decision, before the dial: too early if at all).

--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -529,6 +529,8 @@
         backend: BackendId,
         /// When to give the attempt up; `None` is the client's patience.
         timeout: Option<Millis>,
+        /// When the attempt may begin no more: after that its repeat would no longer be dropped.
+        begin_by: Option<Millis>,
     },
     /// Final answer: refused; a retry does no harm.
     Refuse {
--- a/crates/core/src/policy/attempts.rs
+++ b/crates/core/src/policy/attempts.rs
@@ -24,12 +24,13 @@
         }
         // Did it find the server idle? Only others' word tells.
         let lone = self.cfg.may_tell && self.news < NEWS * self.mean && self.servers[k].held() == 0;
+        let begin_by = self.requests.get(&id).and_then(|r| self.bound(r)).map(|(.., until)| until);
         self.begin(now, id, k, lone);
         let s = &mut self.servers[k];
         s.progress = if s.own == 0 { now } else { s.progress };
         s.own += u32::from(!self.requests[&id].uploading);
         s.tokens -= 1.0;
-        out.push(Action::Send { request: id, backend: s.info.id, timeout: None });
+        out.push(Action::Send { request: id, backend: s.info.id, timeout: None, begin_by });
         self.place(k, now);
     }
 
--- a/crates/lab/src/decide.rs
+++ b/crates/lab/src/decide.rs
@@ -144,7 +144,12 @@
                 self.backends[k].out += 1;
                 let tries = self.open.get(&id).map_or(0, |o| o.0);
                 self.open.insert(id, (tries + 1, self.backends[k].id));
-                out.push(Action::Send { request: id, backend: self.backends[k].id, timeout: None });
+                out.push(Action::Send {
+                    request: id,
+                    backend: self.backends[k].id,
+                    timeout: None,
+                    begin_by: None,
+                });
             }
             None => {
                 self.open.remove(&id);
--- a/crates/lab/src/wire.rs
+++ b/crates/lab/src/wire.rs
@@ -75,7 +75,7 @@
             let backend =
                 fields.get("backend").and_then(|v| v.strip_prefix("s-")?.parse().ok()).map(BackendId)?;
             let timeout = number("maxWait").filter(|ms| *ms > 0.0);
-            Some(Action::Send { request: request()?, backend, timeout })
+            Some(Action::Send { request: request()?, backend, timeout, begin_by: None })
         }
         "TURN_AWAY" => Some(Action::Refuse {
             request: request()?,
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -603,7 +603,7 @@
     fn perform(&mut self, p: usize, action: Action) {
         let life = self.proxies[p].life;
         match action {
-            Action::Send { request, backend, timeout } => {
+            Action::Send { request, backend, timeout, .. } => {
                 self.send(p, request.0 as usize, backend.0 as usize, timeout);
             }
             Action::Refuse { request, retry_after, .. } => {
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -116,6 +116,7 @@
                 request: *request,
                 backend: leadrelay_core::BackendId(0),
                 timeout: None,
+                begin_by: None,
             });
         }
     };
--- a/crates/proxy/src/driver/live.rs
+++ b/crates/proxy/src/driver/live.rs
@@ -15,7 +15,7 @@
 use crate::classes::Hold;
 use crate::inbox::{Answer, Arrival};
 use crate::open_ids::OpenId;
-use crate::upstream::{Outgoing, Reply, RequestState};
+use crate::upstream::{AttemptLimits, Outgoing, Reply, RequestState};
 
 /// The answer has to be on its way this long before the client gives up, whatever happens.
 const LAST_RESORT: Duration = Duration::from_millis(4);
@@ -141,7 +141,9 @@
     }
 
     /// Starts an attempt, unless its request is closed or its backend takes nothing more.
-    pub(super) fn send(&mut self, request: RequestId, backend: BackendId, timeout: Option<Millis>) {
+    pub(super) fn send(
+        &mut self, request: RequestId, backend: BackendId, timeout: Option<Millis>, begin_by: Option<Millis>,
+    ) {
         let Some(live) = self.live.get_mut(&request) else {
             error!(request = request.0, "a send for a request that is not held");
             return;
@@ -178,11 +180,12 @@
             return report.send(Outcome::Moot, None);
         };
         let deadline = timeout.map_or(live.deadline, |timeout| live.deadline.min(now + duration(timeout)));
+        let limits = AttemptLimits { deadline, begin_by: begin_by.map(|at| self.clock.instant(at)) };
         let (upstreams, endpoint) = (self.parts.upstreams.clone(), endpoint.clone());
         let (state, message) = (live.state.clone(), live.message.clone());
         tokio::task::spawn_local(async move {
             let report = |outcome, reply| report.send(outcome, reply);
-            upstreams.attempt(endpoint, state, message, deadline, report).await;
+            upstreams.attempt(endpoint, state, message, limits, report).await;
         });
     }
 
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -215,7 +215,9 @@
 
     fn perform(&mut self, action: Action) {
         match action {
-            Action::Send { request, backend, timeout } => self.send(request, backend, timeout),
+            Action::Send { request, backend, timeout, begin_by } => {
+                self.send(request, backend, timeout, begin_by);
+            }
             Action::Refuse { request, retry_after, reason } => self.refuse(request, retry_after, reason),
             Action::Fail(request) => self.fail(request),
             Action::Timer { token, at } => self.add_timer(self.clock.instant(at), Timer::Balancer(token)),
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -26,12 +26,21 @@
 /// Longest wait until a connection is ready for its next request.
 const READY_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The times that bound an attempt.
+#[derive(Clone, Copy)]
+pub struct AttemptLimits {
+    /// When its answer is waited for no more.
+    pub deadline: Instant,
+    /// When it may begin no more, if it repeats one that may have run.
+    pub begin_by: Option<Instant>,
+}
+
 /// What an attempt is to do.
 struct Attempt {
     endpoint: Rc<Endpoint>,
     state: Rc<Cell<RequestState>>,
     outgoing: Rc<Outgoing>,
-    deadline: Instant,
+    limits: AttemptLimits,
     /// Until when it may begin by the list of backends that is held.
     list_valid_until: Rc<Cell<Instant>>,
 }
@@ -63,10 +72,10 @@
     /// Makes one attempt. `report` is told how it ended, exactly once and before the connection is pooled.
     pub async fn attempt(
         &self, endpoint: Rc<Endpoint>, state: Rc<Cell<RequestState>>, outgoing: Rc<Outgoing>,
-        deadline: Instant, report: impl FnOnce(Outcome, Option<Reply>),
+        limits: AttemptLimits, report: impl FnOnce(Outcome, Option<Reply>),
     ) {
         let list_valid_until = self.list_valid_until.clone();
-        let attempt = Attempt { endpoint, state, outgoing, deadline, list_valid_until };
+        let attempt = Attempt { endpoint, state, outgoing, limits, list_valid_until };
         let sent = match self.send(&attempt).await {
             Ok(sent) => sent,
             Err(not_sent) => return report(not_sent.outcome(), None),
@@ -90,8 +99,10 @@
     /// anything was written to it is replaced by another.
     async fn send(&self, attempt: &Attempt) -> Result<Sent, NotSent> {
         loop {
-            let mut connection = match timeout_at(attempt.deadline, self.connect(&attempt.endpoint)).await {
+            let mut connection = match timeout_at(attempt.connect_by(), self.connect(&attempt.endpoint)).await
+            {
                 Ok(Ok(connection)) => connection,
+                Err(_) if attempt.is_too_late_to_begin() => return Err(NotSent::Moot),
                 Ok(Err(_)) | Err(_) => return Err(NotSent::NoConnection),
             };
             let request = attempt.start_on(&connection).ok_or(NotSent::Moot)?;
@@ -118,7 +129,7 @@
         };
         match &attempt.outgoing.body {
             RequestBody::Buffered { .. } => {
-                let in_time = timeout_at(attempt.deadline, exchange).await;
+                let in_time = timeout_at(attempt.limits.deadline, exchange).await;
                 Ok(in_time.map_err(|_| SendError::TimedOut)??)
             }
             RequestBody::Streamed(_) => tokio::select! {
@@ -182,14 +193,24 @@
 }
 
 impl Attempt {
+    /// When a connection is of no more use.
+    fn connect_by(&self) -> Instant {
+        self.limits.begin_by.map_or(self.limits.deadline, |begin_by| begin_by.min(self.limits.deadline))
+    }
+
+    fn is_too_late_to_begin(&self) -> bool {
+        self.limits.begin_by.is_some_and(|begin_by| Instant::now() >= begin_by)
+    }
+
     /// Prepares the request for a connection; `None` if it is not to be sent any more.
     fn start_on(&self, connection: &Connection) -> Option<Request<MessageBody>> {
-        if !self.endpoint.is_open() || self.state.get() != RequestState::Pending {
+        let is_wanted = self.endpoint.is_open() && self.state.get() == RequestState::Pending;
+        if !is_wanted || self.is_too_late_to_begin() {
             return None;
         }
         let prepared_at = Instant::now();
         let AttemptRequest { request, body_length, timeout } =
-            self.outgoing.for_attempt(self.deadline, &connection.progress)?;
+            self.outgoing.for_attempt(self.limits.deadline, &connection.progress)?;
         let told_deadline = timeout.map(|timeout| prepared_at + timeout);
         connection.progress.start(self.guard(prepared_at, told_deadline), body_length);
         Some(request)
@@ -199,6 +220,7 @@
         SendGuard {
             prepared_at,
             told_deadline,
+            begin_by: self.limits.begin_by,
             list_valid_until: self.list_valid_until.clone(),
             endpoint: self.endpoint.clone(),
             state: self.state.clone(),
--- a/crates/proxy/src/upstream/guard.rs
+++ b/crates/proxy/src/upstream/guard.rs
@@ -36,12 +36,19 @@
     RequestClosed,
     /// The client has disconnected.
     ClientDisconnected,
+    /// It may have run before, and its repeat is no longer dropped.
+    RepeatWindowOver,
 }
 
 impl Denial {
     /// All of them.
-    pub const ALL: [Denial; 4] =
-        [Denial::ListStale, Denial::OutOfService, Denial::RequestClosed, Denial::ClientDisconnected];
+    pub const ALL: [Denial; 5] = [
+        Denial::ListStale,
+        Denial::OutOfService,
+        Denial::RequestClosed,
+        Denial::ClientDisconnected,
+        Denial::RepeatWindowOver,
+    ];
 
     /// Its name in figures and logs.
     pub fn name(self) -> &'static str {
@@ -50,6 +57,7 @@
             Denial::OutOfService => "out_of_service",
             Denial::RequestClosed => "request_closed",
             Denial::ClientDisconnected => "client_disconnected",
+            Denial::RepeatWindowOver => "repeat_window_over",
         }
     }
 
@@ -59,6 +67,7 @@
             Denial::ListStale => Invariant::ListCurrent,
             Denial::OutOfService => Invariant::BackendInService,
             Denial::RequestClosed | Denial::ClientDisconnected => Invariant::RequestOpen,
+            Denial::RepeatWindowOver => Invariant::RepeatAllowed,
         }
     }
 }
@@ -71,6 +80,8 @@
     pub(super) endpoint: Rc<Endpoint>,
     pub(super) state: Rc<Cell<RequestState>>,
     pub(super) outgoing: Rc<Outgoing>,
+    /// When it may begin no more, if it repeats an attempt that may have run.
+    pub(super) begin_by: Option<Instant>,
     /// When the time is over that the backend is told of, if that has begun.
     pub(super) told_deadline: Option<Instant>,
     /// When the request was prepared, from which the backend's time is reckoned.
@@ -78,8 +89,8 @@
 }
 
 impl SendGuard {
-    /// Why the request may not be sent: the list is not valid, the backend takes no work, the request is not pending
-    /// or its client not connected.
+    /// Why the request may not be sent: the list is not valid, the backend takes no work, the request is not pending,
+    /// its client not connected, or its repeat no longer dropped.
     ///
     /// The client's own socket is asked as well: the driver may hear of a client that disconnects while the
     /// connection comes up only after the first byte.
@@ -92,6 +103,8 @@
             Some(Denial::RequestClosed)
         } else if (self.outgoing.client_disconnected)() {
             Some(Denial::ClientDisconnected)
+        } else if self.begin_by.is_some_and(|begin_by| Instant::now() >= begin_by) {
+            Some(Denial::RepeatWindowOver)
         } else {
             None
         }
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -21,6 +21,7 @@
 mod relay;
 mod request_progress;
 
+pub use attempt::AttemptLimits;
 pub use endpoint::Endpoint;
 pub use guard::{Denial, RequestState};
 pub use headers::remove_hop_by_hop;
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -58,7 +58,8 @@
     let message = outgoing(body, false);
     tokio::task::spawn_local(async move {
         let (mut ended, until) = (None, Instant::now() + Duration::from_secs(60));
-        upstreams.attempt(endpoint, state, message, until, |outcome, _| ended = Some(outcome)).await;
+        let limits = AttemptLimits { deadline: until, begin_by: None };
+        upstreams.attempt(endpoint, state, message, limits, |outcome, _| ended = Some(outcome)).await;
         ended
     })
 }
--- a/crates/proxy/src/upstream/tests/units.rs
+++ b/crates/proxy/src/upstream/tests/units.rs
@@ -24,6 +24,7 @@
         endpoint: endpoint.clone(),
         state: state.clone(),
         outgoing,
+        begin_by: None,
         told_deadline: None,
         prepared_at: Instant::now(),
     }
@@ -106,6 +107,10 @@
     endpoint.set_open(true);
     state.set(RequestState::Answered);
     assert_eq!(broken(&guard(now, Duration::from_secs(60))), [Invariant::RequestOpen]);
+    let repeat = SendGuard { begin_by: Some(now), ..guard(now, Duration::from_secs(60)) };
+    state.set(RequestState::Pending);
+    assert_eq!(broken(&repeat), [Invariant::RepeatAllowed]);
+    state.set(RequestState::Answered);
     let stale =
         SendGuard { list_valid_until: Rc::new(Cell::new(now)), ..guard(now, Duration::from_secs(60)) };
     assert_eq!(broken(&stale), [Invariant::ListCurrent]);
--- a/crates/wire/src/wire.rs
+++ b/crates/wire/src/wire.rs
@@ -260,7 +260,7 @@
     fn write(&mut self, action: Action, i: u64, reply: &mut String) {
         // Writing to a String cannot fail.
         let _ = match action {
-            Action::Send { request, backend, timeout } => {
+            Action::Send { request, backend, timeout, .. } => {
                 let Some(known) = self.requests.get_mut(&request.0) else { return };
                 known.out += 1;
                 let backend = self.backends.get(&backend.0).map_or("-", String::as_str);
