--- a/crates/cli/tests/operations.rs
+++ b/crates/cli/tests/operations.rs
@@ -185,6 +185,75 @@
     std::fs::remove_dir_all(folder).expect("it is there");
 }
 
+/// A proxy that has been told to leave one of two backends alone, and the folder that its processes share.
+struct Banned {
+    backends: [Backend; 2],
+    discovery: Discovery,
+    setup: Setup,
+    folder: std::path::PathBuf,
+    old: Proxy,
+}
+
+impl Banned {
+    fn new(name: &str) -> Self {
+        let backends = ["one", "two"].map(|text| Backend::new(Deed::Write(ok(text))));
+        let discovery = Discovery::new();
+        discovery.say(&all_up(&[&backends[0], &backends[1]]));
+        let passed = platform(name);
+        let folder = passed.1.clone();
+        let setup = Setup { passed: Some(passed), ..operated() };
+        let old = Proxy::up(&discovery, &setup);
+        assert_eq!(old.call("PUT /backends/s-0/maint").status(), 200);
+        Banned { backends, discovery, setup, folder, old }
+    }
+
+    /// A successor takes over; nothing of what it sends goes to the backend that is left alone.
+    fn holds_at_the_successor(mut self) {
+        let new = Proxy::start(&self.discovery, &self.setup);
+        wait_for("the new process", || new.call("GET /healthcheck").status() == 200);
+        self.old.terminate();
+        assert!(self.old.wait().success());
+        let before = self.backends[0].seen().len();
+        for id in 0..20 {
+            let answer = Client::new(&new).ask(&page(&format!("r-{id}"))).expect("an answer");
+            assert_eq!(answer.text(), "two");
+        }
+        assert_eq!(self.backends[0].seen().len(), before);
+        std::fs::remove_dir_all(&self.folder).expect("it is there");
+    }
+}
+
+#[test]
+fn a_ban_holds_at_a_successor_that_can_write_nothing() {
+    let banned = Banned::new("unwritable");
+    // What is written before it replaces the file can't be, as on a full disk.
+    std::fs::create_dir(banned.folder.join("leadrelay-n0.new")).expect("nothing has that name");
+    banned.holds_at_the_successor();
+}
+
+#[test]
+fn a_ban_holds_after_its_file_could_not_be_read_for_a_while() {
+    let banned = Banned::new("unreadable");
+    let (file, aside) = (banned.folder.join("leadrelay-n0.json"), banned.folder.join("aside"));
+    std::fs::rename(&file, &aside).expect("it is there");
+    std::os::unix::fs::symlink(&file, &file).expect("a link to itself, which can't be read");
+    let unreadable = || file.symlink_metadata().expect("it is there").is_symlink();
+    wait_for("a try to write", || !unreadable() || banned.old.said("the handover could not be written"));
+    if unreadable() {
+        std::fs::rename(&aside, &file).expect("it is there");
+    }
+    banned.holds_at_the_successor();
+}
+
+#[test]
+fn a_ban_holds_after_its_file_was_lost() {
+    let banned = Banned::new("lost");
+    let file = banned.folder.join("leadrelay-n0.json");
+    std::fs::write(&file, "{\"version\":").expect("half of a file");
+    wait_for("a new file", || std::fs::read_to_string(&file).is_ok_and(|text| text.contains("hosts")));
+    banned.holds_at_the_successor();
+}
+
 #[test]
 fn a_ban_told_to_the_old_process_reaches_the_new_one() {
     let (one, two) = (Backend::new(Deed::Write(ok("one"))), Backend::new(Deed::Write(ok("two"))));
