Interrupted calls on sockets are made again

Cause: socket.rs, peek, took every error but WouldBlock for the end of the connection, so that the check of the client's socket (Client::has_disconnected) dropped a request that had been read; poll_read and poll_write passed EINTR on to hyper, which ends the connection; the same in linger, and by the runtime's own stream in calls to discovery and of operators. All make the call again now; a peek that finds no memory tells nothing. An accept that was interrupted or whose client had given up no longer evicts another client and waits 10 ms.

--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -23,6 +23,7 @@
 use tracing::{error, info, warn};
 
 use crate::metrics::Metrics;
+use crate::socket::Uninterrupted;
 
 /// Connections at a time; one more ends the oldest. A caller that finishes no call must not keep others out.
 const MOST: usize = 12;
@@ -110,7 +111,7 @@
                 .keep_alive(false)
                 .header_read_timeout(None) // the whole call is bounded
                 .max_buf_size(HEAD_SIZE)
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(TokioIo::new(Uninterrupted(stream)), service);
             let _ = timeout(CALL, connection).await; // a caller that left or was too slow needs nothing
         }));
     }
--- a/crates/proxy/src/discovery/client.rs
+++ b/crates/proxy/src/discovery/client.rs
@@ -16,6 +16,7 @@
 
 use super::framing::{Frame, FrameError, Framer};
 use super::list::{ListError, ServerList};
+use crate::socket::Uninterrupted;
 
 /// What is seen of a call.
 #[derive(Debug)]
@@ -116,7 +117,7 @@
     async fn follow(&self, report: &impl Fn(Report)) -> Result<(), CallError> {
         let stream = TcpStream::connect(self.address).await.map_err(CallError::Connect)?;
         report(Report::Connected(self.id));
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(Uninterrupted(stream))).await?;
         let mut connections = JoinSet::new();
         connections.spawn_local(async move {
             let _ = connection.await; // its end shows in the body
--- a/crates/proxy/src/frontend/connection.rs
+++ b/crates/proxy/src/frontend/connection.rs
@@ -1,6 +1,5 @@
 //! One connection of a client, from its first byte to its end.
 
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,7 +21,7 @@
 use super::{Frontend, MAX_HEAD_SIZE, REQUEST_TIMEOUT};
 use crate::cause::Cause;
 use crate::close_reason::ClientClose;
-use crate::socket::half_close;
+use crate::socket::{half_close, is_passing};
 use crate::upstream::MessageBody;
 
 /// A client that takes nothing of a streamed answer for this span is disconnected.
@@ -198,7 +197,7 @@
         match stream.try_read(&mut buffer) {
             Ok(0) => return,
             Ok(read) => remaining = remaining.saturating_sub(read),
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) if is_passing(&error) => {}
             Err(_) => return,
         }
     }
--- a/crates/proxy/src/frontend/listener.rs
+++ b/crates/proxy/src/frontend/listener.rs
@@ -1,6 +1,6 @@
 //! Accepts connections within the budget of sockets.
 
-use std::io;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,6 +42,8 @@
                 }
                 self.spawn(stream, address);
             }
+            // The client has given up, or nothing was accepted: nothing lacks here.
+            Err(error) if matches!(error.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
             // Out of descriptors or the like: make room, wait a moment, go on.
             Err(error) => {
                 warn!(%error, "accept failed");
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -2,9 +2,10 @@
 
 use std::io;
 use std::mem::MaybeUninit;
+use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
-use tokio::io::ReadBuf;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 /// What can be read from a socket next.
@@ -18,13 +19,19 @@
     End,
 }
 
-/// Peeks at a socket. The system itself is asked, which may know more than the runtime has been told.
+/// Peeks at a socket. The system itself is asked, which may know more than the runtime has been told. What the system
+/// can't tell for a moment says nothing of the connection.
 pub fn peek(stream: &TcpStream) -> Peeked {
-    match socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
-        Ok(0) => Peeked::End,
-        Ok(_) => Peeked::Bytes,
-        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Peeked::Nothing,
-        Err(_) => Peeked::End,
+    loop {
+        match socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(0) => return Peeked::End,
+            Ok(_) => return Peeked::Bytes,
+            Err(e) => match e.kind() {
+                io::ErrorKind::Interrupted => {}
+                io::ErrorKind::WouldBlock | io::ErrorKind::OutOfMemory => return Peeked::Nothing,
+                _ => return Peeked::End,
+            },
+        }
     }
 }
 
@@ -42,7 +49,7 @@
                 buf.advance(n);
                 return Poll::Ready(Ok(()));
             }
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) if is_passing(&e) => {}
             Err(e) => return Poll::Ready(Err(e)),
         }
     }
@@ -53,12 +60,40 @@
     loop {
         ready!(stream.poll_write_ready(cx))?;
         match stream.try_write(bytes) {
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) if is_passing(&e) => {}
             done => return Poll::Ready(done),
         }
     }
 }
 
+/// Whether an error says no more than that the call is to be made again, once the socket is ready.
+pub fn is_passing(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+}
+
+/// A connection on which interrupted calls are made again; the runtime's own passes them on as errors.
+pub struct Uninterrupted(pub TcpStream);
+
+impl AsyncRead for Uninterrupted {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        poll_read(&self.0, cx, buf)
+    }
+}
+
+impl AsyncWrite for Uninterrupted {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        poll_write(&self.0, cx, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(half_close(&self.0))
+    }
+}
+
 /// Closes the sending side of a connection.
 pub fn half_close(stream: &TcpStream) -> io::Result<()> {
     socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write)
