A handover that can't be read or written is not taken for one that is not there

Cause: handover.rs, open, threw away what it had just read of the predecessor if its own announcement could not be written (ENOSPC, EIO), and server.rs then served without bans and drain; replace took a file that can't be read (ENFILE, EIO) for an empty one and wrote that over it (unwrap_or_default); a broken file cost all that it had held. Now a new process keeps what it has read and writes later, tries for up to a second to read, a change of an unreadable file fails and is answered with no, and a file that is gone or broken is written anew from what was last known.

--- a/crates/cli/tests/operations.rs
+++ b/crates/cli/tests/operations.rs
@@ -254,6 +254,23 @@
     banned.holds_at_the_successor();
 }
 
+#[test]
+fn a_killed_predecessor_shares_nothing_any_more() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let passed = platform("killed");
+    let folder = passed.1.clone();
+    let setup = Setup { passed: Some(passed), ..operated() };
+    let old = Proxy::up(&discovery, &setup);
+    let new = Proxy::start(&discovery, &setup);
+    wait_for("the new process", || new.call("GET /healthcheck").status() == 200);
+    assert!(new.said("twin=true"));
+    drop(old); // by SIGKILL
+    wait_for("its end at the new one", || new.said("twin=false"));
+    std::fs::remove_dir_all(folder).expect("it is there");
+}
+
 #[test]
 fn a_ban_told_to_the_old_process_reaches_the_new_one() {
     let (one, two) = (Backend::new(Deed::Write(ok("one"))), Backend::new(Deed::Write(ok("two"))));
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -1,7 +1,7 @@
 //! An upgrade: two processes run beside each other as one proxy, on a listening socket that the platform holds.
 //! What one needs of the other lies in one small file, replaced whole.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::ffi::OsStr;
 use std::fs::{File, TryLockError};
@@ -26,6 +26,11 @@
 /// An order that can't be written down for this long is answered with no: its caller waits little longer.
 const PATIENCE: Duration = Duration::from_millis(500);
 
+/// A new process tries so often to read what a predecessor has left,
+const READ_ATTEMPTS: u32 = 20;
+/// and waits for so long in between.
+const READ_PAUSE: Duration = Duration::from_millis(50);
+
 /// A file's number and the time of its last change.
 type Mark = (u64, i64, i64);
 
@@ -38,14 +43,14 @@
     Stopping,
 }
 
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Process {
     pid: u32,
     stage: Stage,
 }
 
 /// What two processes share by the file. Ids are those of the module; times are Unix times in milliseconds.
-#[derive(Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct SharedState {
     version: u32,
     /// In the order of their starts.
@@ -57,23 +62,8 @@
     pub speeds: Speeds,
 }
 
-/// Why the file can't be used.
-#[derive(Debug, thiserror::Error)]
-enum LoadError {
-    #[error(transparent)]
-    Read(#[from] io::Error),
-    #[error(transparent)]
-    Parse(#[from] serde_json::Error),
-}
-
-impl SharedState {
-    fn parse(text: &[u8]) -> Result<Self, LoadError> {
-        Ok(serde_json::from_slice(text)?)
-    }
-}
-
 /// What has been learnt, classes and kinds by their names.
-#[derive(Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Speeds {
     pub servers: Vec<(u64, Mean)>,
     pub classes: BTreeMap<String, Mean>,
@@ -92,7 +82,11 @@
 /// This process's end of the file. The lock is never waited for, as the other process may be stopped while it holds it.
 pub struct Handover {
     file: PathBuf,
-    lock: File,
+    lock_path: PathBuf,
+    /// Opened with the first change.
+    lock: OnceCell<File>,
+    /// What the file said when it was last read or written; it stands in for a file that is gone or broken.
+    last: RefCell<Option<SharedState>>,
     stage: Cell<Stage>,
     /// Which file was last read or written.
     seen: Cell<Option<Mark>>,
@@ -105,12 +99,15 @@
 }
 
 impl Handover {
-    /// Announces this process in the file of this proxy; returns what a predecessor has left.
-    pub fn open(folder: &Path, name: &str) -> io::Result<(Self, Option<SharedState>)> {
+    /// Announces this process in the file of this proxy; returns what a predecessor has left. What can't be written now
+    /// is written later: it must not cost what has been read.
+    pub fn open(folder: &Path, name: &str) -> (Self, Option<SharedState>) {
         let name: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '-' }).collect();
         let handover = Handover {
             file: folder.join(format!("leadrelay-{name}.json")),
-            lock: File::create(folder.join(format!("leadrelay-{name}.lock")))?,
+            lock_path: folder.join(format!("leadrelay-{name}.lock")),
+            lock: OnceCell::new(),
+            last: RefCell::default(),
             stage: Cell::new(Stage::Starting),
             seen: Cell::new(None),
             twin: Cell::new(false),
@@ -119,42 +116,70 @@
             changes: RefCell::default(),
         };
         handover.seen.set(handover.mark());
-        let predecessor = handover.load();
-        match handover.update(|_| {}) {
-            Err(e) if e.kind() != io::ErrorKind::WouldBlock => Err(e),
-            _ => Ok((handover, predecessor)),
+        let predecessor = handover.load_patiently();
+        if let Err(error) = handover.update(|_| {})
+            && error.kind() != io::ErrorKind::WouldBlock
+        {
+            warn!(folder = %folder.display(), %error, "the handover can't be written yet");
+        }
+        (handover, predecessor)
+    }
+
+    /// What a predecessor has left, also if the file can't be read for a moment.
+    fn load_patiently(&self) -> Option<SharedState> {
+        for _ in 1..READ_ATTEMPTS {
+            match self.load() {
+                Ok(state) => return state,
+                Err(_) => std::thread::sleep(READ_PAUSE),
+            }
         }
+        self.load().unwrap_or_else(|error| {
+            warn!(%error, "what a predecessor has left can't be read");
+            None
+        })
     }
 
-    /// What the file says; `None` if there is none or it is of no use.
-    fn load(&self) -> Option<SharedState> {
+    /// What the file says; `None` if there is none or it is of no use. An error tells nothing of what it says.
+    fn load(&self) -> io::Result<Option<SharedState>> {
         let text = match std::fs::read(&self.file) {
-            Err(e) if e.kind() == io::ErrorKind::NotFound => return None,
-            other => other,
+            Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
+            other => other?,
         };
-        match text.map_err(LoadError::from).and_then(|text| SharedState::parse(&text)) {
-            Ok(state) if state.version == VERSION => Some(state),
+        Ok(match serde_json::from_slice::<SharedState>(&text) {
+            Ok(state) if state.version == VERSION => {
+                self.last.replace(Some(state.clone()));
+                Some(state)
+            }
             Ok(state) => {
                 warn!(version = state.version, "the handover is of another version and left aside");
                 None
             }
-            Err(e) => {
-                warn!(error = e.to_string(), "the handover is of no use");
+            Err(error) => {
+                warn!(%error, "the handover is of no use");
                 None
             }
+        })
+    }
+
+    fn lock(&self) -> io::Result<&File> {
+        if let Some(lock) = self.lock.get() {
+            return Ok(lock);
         }
+        let lock = File::create(&self.lock_path)?;
+        Ok(self.lock.get_or_init(|| lock))
     }
 
     /// Changes the file, unless the other process is changing it: then the error is that this would block.
     pub fn update(&self, change: impl FnOnce(&mut SharedState)) -> io::Result<()> {
         self.behind.set(true);
-        match self.lock.try_lock() {
+        let lock = self.lock()?;
+        match lock.try_lock() {
             Ok(()) => {}
             Err(TryLockError::WouldBlock) => return Err(io::ErrorKind::WouldBlock.into()),
             Err(TryLockError::Error(e)) => return Err(e),
         }
         let done = self.replace(change);
-        self.lock.unlock()?;
+        lock.unlock()?;
         self.behind.set(done.is_err());
         done
     }
@@ -197,7 +222,8 @@
     fn replace(&self, change: impl FnOnce(&mut SharedState)) -> io::Result<()> {
         // What the other process has written and this one not yet read stays news.
         let read = self.mark() == self.seen.get();
-        let mut state = self.load().unwrap_or_default();
+        let state = self.load()?.or_else(|| self.last.borrow().clone());
+        let mut state = state.unwrap_or_default();
         state.version = VERSION;
         state.processes.retain(|p| p.pid != me() && runs(p.pid) || p.pid == me());
         match state.processes.iter_mut().find(|p| p.pid == me()) {
@@ -210,6 +236,7 @@
         std::fs::rename(&fresh, &self.file)?;
         self.seen.set(if read { self.mark() } else { None });
         self.judge(&state);
+        self.last.replace(Some(state));
         Ok(())
     }
 
@@ -231,15 +258,16 @@
         if mark == self.seen.get() {
             return None;
         }
+        let state = self.load().ok()?; // what can't be read now is read at the next look
         self.seen.set(mark);
-        let state = self.load()?;
+        let state = state?;
         self.judge(&state);
         Some(state)
     }
 
     /// Looks anew at who runs: a process that was killed tells nobody.
     pub fn look(&self) {
-        if let Some(state) = self.load() {
+        if let Ok(Some(state)) = self.load() {
             self.judge(&state);
         }
     }
@@ -269,7 +297,7 @@
         if let Err(e) = self.update(|_| {}) {
             warn!(error = %e, "the handover could not be written");
         }
-        self.load().is_some_and(|state| {
+        self.load().ok().flatten().is_some_and(|state| {
             let later = state.processes.iter().skip_while(|p| p.pid != me());
             later.skip(1).any(|p| p.stage == Stage::Serving && runs(p.pid))
         })
@@ -341,19 +369,19 @@
     #[test]
     fn a_successor_finds_what_was_left_and_survives_what_is_broken() {
         let folder = folder("left");
-        let (first, left) = Handover::open(&folder, "n/0").expect("a folder");
+        let (first, left) = Handover::open(&folder, "n/0");
         assert!(left.is_none());
         first.update(|s| (s.drained, s.bans) = (true, vec![u64::MAX])).expect("a file");
-        let (second, left) = Handover::open(&folder, "n/0").expect("a folder");
+        let (second, left) = Handover::open(&folder, "n/0");
         let left = left.expect("a state");
         assert_eq!((left.drained, left.bans), (true, vec![u64::MAX]));
         assert!(first.news().is_some(), "it was replaced");
         assert!(first.news().is_none(), "once");
         for broken in ["", "{", "{\"version\":99}", "[]"] {
             std::fs::write(&second.file, broken).expect("a file");
-            assert!(second.load().is_none(), "{broken}");
+            assert!(second.load().expect("a file").is_none(), "{broken}");
             second.update(|s| s.drained = true).expect("a file");
-            assert!(second.load().expect("mended").drained);
+            assert!(second.load().expect("a file").expect("mended").drained);
         }
         std::fs::remove_dir_all(folder).expect("it is there");
     }
@@ -361,8 +389,8 @@
     #[test]
     fn what_the_other_process_wrote_is_news_after_an_own_change_too() {
         let folder = folder("news");
-        let (first, _) = Handover::open(&folder, "n0").expect("a folder");
-        let (second, _) = Handover::open(&folder, "n0").expect("a folder");
+        let (first, _) = Handover::open(&folder, "n0");
+        let (second, _) = Handover::open(&folder, "n0");
         assert!(second.news().is_none(), "its own word");
         first.update(|s| s.drained = true).expect("a file");
         second.update(|s| s.bans.push(1)).expect("a file");
@@ -374,7 +402,7 @@
     #[test]
     fn processes_that_have_ended_are_no_twins() {
         let folder = folder("ended");
-        let (own, _) = Handover::open(&folder, "n0").expect("a folder");
+        let (own, _) = Handover::open(&folder, "n0");
         let mut child = std::process::Command::new("sleep").arg("30").spawn().expect("a process");
         let other = Process { pid: child.id(), stage: Stage::Serving };
         own.update(|s| s.processes.push(other)).expect("a file");
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -125,15 +125,8 @@
             Some(number) => {
                 let listener = handover::passed(&number)?;
                 let listener = TcpListener::from_std(listener).map_err(Error::system("the passed socket"))?;
-                let folder = std::env::temp_dir();
-                match Handover::open(&folder, &config.name) {
-                    Ok((handover, predecessor)) => (listener, Some(Rc::new(handover)), predecessor),
-                    // Better to serve than not to start; a successor will know nothing.
-                    Err(e) => {
-                        warn!(folder = %folder.display(), error = %e, "no handover");
-                        (listener, None, None)
-                    }
-                }
+                let (handover, predecessor) = Handover::open(&std::env::temp_dir(), &config.name);
+                (listener, Some(Rc::new(handover)), predecessor)
             }
             None => {
                 let what = format!("cannot listen on {}", config.listen);
