--- a/crates/proxy/src/driver/handover.rs
+++ b/crates/proxy/src/driver/handover.rs
@@ -32,13 +32,20 @@
         });
     }
 
-    /// Keeps up with the other process of this proxy, and keeps what it needs written down.
-    pub(super) fn share(&mut self, save: bool) {
+    /// Looks whether the other process of this proxy still runs, and keeps what it needs written down.
+    pub(super) fn look_at_handover(&mut self) {
         let Some(handover) = self.parts.handover.clone() else { return };
-        handover.settle();
-        if save {
-            handover.look();
+        handover.look();
+        self.follow_handover();
+        if handover.owner() {
+            self.save();
         }
+    }
+
+    /// Keeps up with the other process of this proxy.
+    pub(super) fn follow_handover(&mut self) {
+        let Some(handover) = self.parts.handover.clone() else { return };
+        handover.settle();
         if let Some(shared) = handover.news() {
             self.follow(&shared);
         }
@@ -47,9 +54,6 @@
             info!(twin = self.twin, "another process of this proxy has come or gone");
             self.handle(Event::Twin(self.twin));
         }
-        if save && handover.owner() {
-            self.save();
-        }
     }
 
     /// Writes down for the other process, if there may be one, what an order has changed, and answers then.
--- a/crates/proxy/src/driver/housekeeping.rs
+++ b/crates/proxy/src/driver/housekeeping.rs
@@ -53,11 +53,12 @@
             if schedule.started.elapsed() >= wait {
                 self.serve();
             }
-            self.share(now >= schedule.sweep_at);
+            self.follow_handover();
             schedule.gauge_at = now + GAUGE_PERIOD;
         }
         if now >= schedule.sweep_at {
             self.parts.upstreams.sweep();
+            self.look_at_handover();
             schedule.sweep_at = now + SWEEP_PERIOD;
             if now >= schedule.tally_at {
                 self.tally.log(&self.parts.metrics, self.last_news.elapsed());
