Starts of backends are reckoned by every setting of the wall clock, not the first alone

Cause: driver/clock.rs, born, converted Unix times by the offset at the process's start. After the clocks of all machines are set back, a backend that starts counts as started long ago: it has no budget, and the sum of all proxies may push it over (slow start). After they are set forward it counts as cold for as long as the step. The handover passed Unix times on by the same offset.

Now the offsets that were in force are kept; of the times that a start may mean the latest that is not in the future is taken, and reckoned once for each process of a backend, so that no later step changes it. Too cold costs a little service for a while, too warm breaks the rule. Servers back from maintenance are handed over by their ages.

Ruled out: the timers, which are monotonic; the core, which gets starts by its own clock and was right on what it got.

--- a/crates/proxy/src/driver/backends.rs
+++ b/crates/proxy/src/driver/backends.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use leadrelay_core::settings::{Names, index_of, number_of};
-use leadrelay_core::{Backend, BackendId, Balancer, CellId, KindId, State, ZoneId};
+use leadrelay_core::{Backend, BackendId, Balancer, CellId, KindId, Millis, State, ZoneId};
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use super::clock::Clock;
@@ -24,12 +24,21 @@
     pub upstreams: &'a Upstreams,
 }
 
+/// A backend's start, as discovery tells it and by the core's clock.
+#[derive(Clone, Copy)]
+struct Start {
+    born_ms: f64,
+    since: Option<Millis>,
+}
+
 /// The listed backends.
 #[derive(Default)]
 pub struct Backends {
     endpoints: FxHashMap<BackendId, Rc<Endpoint>>,
     /// The list as it stands.
     hosts: FxHashMap<BackendId, Host>,
+    /// When each listed backend started. That is reckoned once, as the wall clock may be stepped after it.
+    starts: FxHashMap<BackendId, Start>,
     /// Backends that have ever been listed.
     listed: Listed,
 }
@@ -44,6 +53,7 @@
         if whole {
             let listed: FxHashSet<BackendId> = entries.iter().map(|entry| entry.id).collect();
             // Attempts that are out keep what they need of a backend that has left.
+            self.starts.retain(|id, _| listed.contains(id));
             self.endpoints.retain(|id, endpoint| {
                 let stays = listed.contains(id);
                 if !stays {
@@ -71,16 +81,24 @@
         let zone = host.site.as_ref().and_then(|zone| known(&mut names.zones, zone)).map(ZoneId);
         let kind = host.class.as_ref().and_then(|kind| known(&mut names.kinds, kind)).map(KindId);
         let (cell, rating) = (host.block.map(CellId), host.share.unwrap_or(1.0));
-        let since = context.clock.born(host.born_ms);
+        let since = self.since(id, host.born_ms, context.clock);
         if state == State::Gone {
             self.endpoints.remove(&id);
             self.hosts.remove(&id);
+            self.starts.remove(&id);
         } else {
             self.hosts.insert(id, host);
         }
         Backend { id, zone, kind, cell, state, rating, since }
     }
 
+    fn since(&mut self, id: BackendId, born_ms: f64, clock: &Clock) -> Option<Millis> {
+        let known = self.starts.get(&id).filter(|start| start.born_ms == born_ms);
+        let start = known.copied().unwrap_or_else(|| Start { born_ms, since: clock.born(born_ms) });
+        self.starts.insert(id, start);
+        start.since
+    }
+
     /// Makes an endpoint for a backend's process, unless there is one for that process at that address.
     fn connect(&mut self, id: BackendId, host: &Host, context: &mut Context) {
         let Some(address) = host.dial else { return };
--- a/crates/proxy/src/driver/discovery_news.rs
+++ b/crates/proxy/src/driver/discovery_news.rs
@@ -88,6 +88,7 @@
     }
 
     fn apply_hosts(&mut self, whole: bool, hosts: Vec<Host>) -> Vec<Backend> {
+        self.clock.follow_wall_clock();
         let mut context = Context {
             balancer: &self.balancer,
             clock: &self.clock,
--- a/crates/proxy/src/driver/handover.rs
+++ b/crates/proxy/src/driver/handover.rs
@@ -2,8 +2,9 @@
 
 use std::sync::atomic::Ordering::Relaxed;
 
-use leadrelay_core::{BackendId, DiscoveryEvent, Event, Learnt, Scope};
+use leadrelay_core::{BackendId, DiscoveryEvent, Event, Learnt, Millis, Scope};
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 use tracing::{info, warn};
 
 use super::Driver;
@@ -19,7 +20,7 @@
             self.apply_list(Scope::Cached, hosts);
         }
         let own = |id: &u64| BackendId(*id);
-        let at = |unix: f64| unix - self.clock.unix_start;
+        let back = self.back_from_maintenance(&speeds);
         let classes = self.parts.classes.borrow();
         let class = |(name, _)| speeds.classes.get(name).copied().unwrap_or_default();
         let kind = |name: &str| speeds.kinds.get(name).copied().unwrap_or_default();
@@ -28,10 +29,24 @@
             servers: speeds.servers.iter().map(|(id, slow)| (own(id), *slow)).collect(),
             classes: classes.offered().map(class).collect(),
             kinds: kinds.map(kind).collect(),
-            back: speeds.back.iter().map(|(id, away, back)| (own(id), at(*away), at(*back))).collect(),
+            back,
         });
     }
 
+    /// Servers that a predecessor took back from maintenance. What has passed since it wrote that is not known for sure:
+    /// taken for none, they count as a little colder than they are.
+    fn back_from_maintenance(&self, speeds: &Speeds) -> Vec<(BackendId, Millis, Millis)> {
+        let (now, offset) = (self.clock.at(Instant::now()), self.clock.offset());
+        if speeds.back_ages.is_empty() {
+            return speeds
+                .back
+                .iter()
+                .map(|(id, away, back)| (BackendId(*id), away - offset, back - offset))
+                .collect();
+        }
+        speeds.back_ages.iter().map(|(id, away, back)| (BackendId(*id), now - away, now - back)).collect()
+    }
+
     /// Looks whether the other process of this proxy still runs, and keeps what it needs written down.
     pub(super) fn look_at_handover(&mut self) {
         let Some(handover) = self.parts.handover.clone() else { return };
@@ -100,7 +115,8 @@
         let learnt = self.balancer.learnt();
         let classes = self.parts.classes.borrow();
         let class = |(name, id): (&str, usize)| Some((name.to_owned(), *learnt.classes.get(id)?));
-        let at = |time: f64| time + self.clock.unix_start;
+        let (now, offset) = (self.clock.at(Instant::now()), self.clock.offset());
+        let back_ages = learnt.back.iter().map(|(id, away, back)| (id.0, now - away, now - back)).collect();
         let kinds = std::iter::once("").chain(self.names.kinds.iter().map(String::as_str));
         let kinds = kinds.map(str::to_owned).zip(learnt.kinds);
         Speeds {
@@ -108,7 +124,12 @@
             classes: classes.offered().filter_map(class).collect(),
             // What has not been measured is infinite, which the file's form can't say.
             kinds: kinds.filter(|(_, (_, calm, _))| calm.is_finite()).collect(),
-            back: learnt.back.into_iter().map(|(id, away, back)| (id.0, at(away), at(back))).collect(),
+            back: learnt
+                .back
+                .into_iter()
+                .map(|(id, away, back)| (id.0, away + offset, back + offset))
+                .collect(),
+            back_ages,
         }
     }
 }
--- a/crates/proxy/src/driver/housekeeping.rs
+++ b/crates/proxy/src/driver/housekeeping.rs
@@ -47,6 +47,7 @@
     /// Does the periodic work that is due.
     pub(super) fn keep_house(&mut self, schedule: &mut Schedule, now: Instant) {
         if now >= schedule.gauge_at {
+            self.clock.follow_wall_clock();
             self.update_gauges();
             self.parts.upstreams.retire();
             let wait = if self.has_remembered_list { REMEMBERED_LIST_WAIT } else { NO_LIST_WAIT };
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -68,8 +68,12 @@
     pub servers: Vec<(u64, Mean)>,
     pub classes: BTreeMap<String, Mean>,
     pub kinds: BTreeMap<String, (Mean, f64, f64)>,
-    /// Servers back from maintenance: since when they were in it, and when they came back.
+    /// Servers back from maintenance: since when they were in it, and when they came back, in Unix time. For processes
+    /// that don't know `back_ages`.
     pub back: Vec<(u64, f64, f64)>,
+    /// The same in milliseconds before this was written, which no step of the wall clock changes.
+    #[serde(default)]
+    pub back_ages: Vec<(u64, f64, f64)>,
 }
 
 /// What an operator has changed, to be written down before the yes.
