A pipelined request is as old as the read that brought it

Cause: frontend/connection.rs, Client::received, dated a head that had been read behind another one by the moment at which hyper parsed it, when the request before it had its answer. Its time began anew, so its backend was told more than its client had left, and its answer could be later than 0.5 s after its time. It now dates from the last read of its connection; hyper reads no more while it holds such a head.

Left open: bytes that the system still held as hyper's buffer was full are dated by their own read.

--- a/crates/proxy/src/frontend/client.rs
+++ b/crates/proxy/src/frontend/client.rs
@@ -44,6 +44,8 @@
     pub(super) address: IpAddr,
     /// The earliest time at which it may have entered the accept queue, until its first request has been read.
     pub(super) queued_since: Cell<Option<Instant>>,
+    /// When bytes were last read from it.
+    pub(super) last_read: Cell<Instant>,
     /// The client has closed its sending side.
     pub(super) read_closed: Cell<bool>,
     /// The raw bytes of the head being read.
@@ -76,6 +78,7 @@
             accepted_at: now,
             address,
             queued_since: Cell::new(Some(queued_since)),
+            last_read: Cell::new(now),
             read_closed: Cell::new(false),
             raw_head: RefCell::default(),
             streaming: Cell::new(false),
--- a/crates/proxy/src/frontend/client_socket.rs
+++ b/crates/proxy/src/frontend/client_socket.rs
@@ -22,8 +22,9 @@
 impl ClientSocket {
     fn record_read(&self, bytes: &[u8]) {
         let client = &self.client;
-        if bytes.is_empty() {
-            client.read_closed.set(true);
+        match bytes.is_empty() {
+            true => client.read_closed.set(true),
+            false => client.last_read.set(Instant::now()),
         }
         let stage = client.stage.get();
         if matches!(stage, Stage::New | Stage::Idle) {
--- a/crates/proxy/src/frontend/connection.rs
+++ b/crates/proxy/src/frontend/connection.rs
@@ -156,7 +156,9 @@
         let raw_head = (!pipelined).then(|| self.raw_head.take());
         // A request that arrived while its connection was in the accept queue is as old as that.
         let queued_since = self.queued_since.take().filter(|_| self.accepted_at.elapsed() < GRACE);
-        let arrived_at = queued_since.unwrap_or_else(Instant::now);
+        // One that was read behind another has been there since.
+        let read_at = if pipelined { self.last_read.get() } else { Instant::now() };
+        let arrived_at = queued_since.unwrap_or(read_at);
         Received { request, arrived_at, raw_head }
     }
 
