The time for which a long body is not read on counts against its client's patience

Cause: driver/live.rs, accept, let a request whose body is streamed begin its time with the body's last byte from the start: deadline 600 s, and for the core no end at all (attempts.rs, end: infinite while uploading). But while it waits in the queue nobody reads the body; a client that has sent all of it waits in vain, and its backend is later told all of its patience.

Until an attempt takes the body the request is now like any other: the core gives it up in time, with Retry-After. With the taking the core hears of the upload, and what was waited is off the patience for the answer and off the time told. What it costs: a client that still sends while its request waits for longer than its patience is refused, harmlessly.

Ruled out: the pace of the upload itself, whose time rightly stands still.

--- a/crates/proxy/src/driver/live.rs
+++ b/crates/proxy/src/driver/live.rs
@@ -20,6 +20,8 @@
 /// The answer has to be on its way this long before the client gives up, whatever happens.
 const LAST_RESORT: Duration = Duration::from_millis(4);
 
+/// Longest span for which a body may be received while it is sent.
+const MAX_UPLOAD_TIME: Duration = Duration::from_secs(600);
 /// A final answer that is later than this is lost.
 const LATE_ANSWER: Duration = Duration::from_millis(500);
 
@@ -71,7 +73,7 @@
         let deadline = self.answer_by(deadline);
         let last = deadline - LAST_RESORT;
         let now = Instant::now();
-        let budget = upload.unwrap_or(last.saturating_duration_since(now)).as_secs_f64() * 1000.0;
+        let budget = last.saturating_duration_since(now).as_secs_f64() * 1000.0;
         debug!(
             number = id.0,
             request = message.request_id(),
@@ -101,9 +103,17 @@
         self.tally.requests += 1;
         self.add_timer(last, Timer::LastResort(id));
         self.handle(Event::Request { id, class, tenant, key, budget, hint });
-        if upload.is_some() {
-            self.handle(Event::Upload { request: id, stage: Upload::Begun });
-        }
+    }
+
+    /// An attempt takes a streamed body. From here on it is read, and its client's time stands still up to its last
+    /// byte; before that the client may have sent all of it, so the time that it has waited is gone.
+    pub(super) fn body_begun(&mut self, id: RequestId, patience: Duration) {
+        let deadline = self.answer_by(Instant::now() + MAX_UPLOAD_TIME);
+        let Some(live) = self.live.get_mut(&id).filter(|live| live.upload.is_some()) else { return };
+        live.upload = Some(patience);
+        live.deadline = deadline;
+        self.add_timer(deadline - LAST_RESORT, Timer::LastResort(id));
+        self.handle(Event::Upload { request: id, stage: Upload::Begun });
     }
 
     /// The last byte of a streamed body has been taken: the time of its request begins now.
@@ -123,6 +133,13 @@
         self.shutdown_deadline.map_or(deadline, |end| end.min(deadline))
     }
 
+    /// Answers a request whose time is over, unless it has been given more.
+    pub(super) fn last_resort_due(&mut self, id: RequestId, now: Instant) {
+        if self.live.get(&id).is_some_and(|live| live.deadline <= now + LAST_RESORT) {
+            self.answer_as_last_resort(id);
+        }
+    }
+
     /// Answers a request that nobody else has answered in time. If it has been sent, it may have run and has failed.
     pub(super) fn answer_as_last_resort(&mut self, id: RequestId) {
         let sent = self.live.get(&id).is_some_and(|live| live.attempts > 0);
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -148,7 +148,7 @@
             let Some(Reverse((_, timer))) = self.timers.pop() else { break };
             match timer {
                 Timer::Balancer(token) => self.handle(Event::Timer(token)),
-                Timer::LastResort(id) => self.answer_as_last_resort(id),
+                Timer::LastResort(id) => self.last_resort_due(id, now),
                 Timer::ShutdownDeadline => self.answer_all(),
             }
         }
@@ -169,6 +169,7 @@
                 self.add_timer(end, Timer::ShutdownDeadline);
             }
             Input::Leaving => self.handle(Event::Leaving(true)),
+            Input::UploadBegun(id, patience) => self.body_begun(id, patience),
             Input::Uploaded(id) => self.body_complete(id),
             Input::Ended { request, attempt, latency, outcome, reply } => {
                 self.attempt_ended(request, attempt, latency, outcome, reply);
--- a/crates/proxy/src/frontend/body.rs
+++ b/crates/proxy/src/frontend/body.rs
@@ -43,7 +43,7 @@
 
 impl Frontend {
     /// Reads a request's body until `due`, as far as it is buffered. A streamed one's answer may take
-    /// `answer_timeout` from its last byte on.
+    /// `answer_timeout` from its last byte on, less what it has waited until it was read on.
     pub(super) async fn receive_body(
         &self, body: Incoming, due: Instant, id: RequestId, answer_timeout: Duration,
     ) -> Result<ReceivedBody<impl Future<Output = Result<(), Fault>>>, Fault> {
@@ -58,10 +58,12 @@
         let length = rest.size_hint().exact().map(|rest| read.len() as u64 + rest);
         let (sender, stream) = BodyStream::new(length);
         let upload = forward_body(rest, (read, memory), pace, sender, self.upstreams.memory.pieces.clone());
-        let inbox = self.inbox.clone();
-        let on_complete = Rc::new(move || inbox.put(Input::Uploaded(id)));
+        let (begun, complete) = (self.inbox.clone(), self.inbox.clone());
+        let on_begin = Box::new(move |patience| begun.put(Input::UploadBegun(id, patience)));
+        let on_complete = Rc::new(move || complete.put(Input::Uploaded(id)));
         let stream = RefCell::new(Some(stream));
-        let body = RequestBody::Streamed(Upload { stream, answer_timeout, on_complete });
+        let answer_by = Instant::now() + answer_timeout;
+        let body = RequestBody::Streamed(Upload { stream, answer_by, on_begin, on_complete });
         Ok(ReceivedBody { body, upload: Some(upload) })
     }
 
--- a/crates/proxy/src/frontend/request.rs
+++ b/crates/proxy/src/frontend/request.rs
@@ -26,8 +26,6 @@
 use crate::open_ids::OpenId;
 use crate::upstream::{MessageBody, Outgoing, RequestBody, remove_hop_by_hop};
 
-/// Longest span for which a body may be received.
-const MAX_UPLOAD_TIME: Duration = Duration::from_secs(600);
 /// A body that was read within this span arrived with its head.
 const AT_ONCE: Duration = Duration::from_millis(3);
 
@@ -119,7 +117,6 @@
         if client.has_disconnected() {
             return Err(ClientDisconnected);
         }
-        let answer_time = if streamed { MAX_UPLOAD_TIME } else { meta.patience };
         let (answer, answered) = oneshot::channel();
         self.inbox.put(Input::Request(Box::new(Arrival {
             id,
@@ -128,7 +125,7 @@
             tenant: meta.tenant,
             key: meta.key,
             hint: meta.hint,
-            deadline: arrived_at + answer_time,
+            deadline: arrived_at + meta.patience,
             upload: streamed.then_some(meta.patience),
             message,
             answer,
--- a/crates/proxy/src/inbox.rs
+++ b/crates/proxy/src/inbox.rs
@@ -26,6 +26,8 @@
     Ending(Instant),
     /// Other settings.
     Retune(Box<(Retuning, Connections)>),
+    /// An attempt has begun to take a body that is sent on while it comes; its client then had so much time left.
+    UploadBegun(RequestId, Duration),
     /// The last byte of a body that is sent on while it comes has been taken.
     Uploaded(RequestId),
     /// An attempt has ended.
--- a/crates/proxy/src/upstream/message.rs
+++ b/crates/proxy/src/upstream/message.rs
@@ -40,8 +40,10 @@
 pub struct Upload {
     /// Taken by the attempt that sends it.
     pub stream: RefCell<Option<BodyStream>>,
-    /// How long the client waits for its answer, counted from the body's last byte.
-    pub answer_timeout: Duration,
+    /// When the client's time is over, unless an attempt reads the body on before.
+    pub answer_by: Instant,
+    /// Called when an attempt begins to take it, with how long the client waits for its answer from the last byte on.
+    pub on_begin: Box<dyn Fn(Duration)>,
     /// Called when the last byte has been taken.
     pub on_complete: Rc<dyn Fn()>,
 }
@@ -89,9 +91,10 @@
                 (Either::Left(Full::new(bytes.clone())), bytes.len(), remaining)
             }
             RequestBody::Streamed(upload) => {
-                let stream = upload.take_stream(progress)?;
+                let patience = upload.answer_by.saturating_duration_since(Instant::now());
+                let stream = upload.take_stream(progress, patience)?;
                 let length = stream.size_hint().exact().map_or(UNKNOWN_LENGTH, |length| length as usize);
-                (Either::Right(stream), length, upload.answer_timeout)
+                (Either::Right(stream), length, patience)
             }
         };
         let mut request = Request::new(body);
@@ -107,13 +110,13 @@
 
 impl Upload {
     /// Takes the stream for an attempt, whose progress is told how the stream ends.
-    fn take_stream(&self, progress: &Rc<RequestProgress>) -> Option<BodyStream> {
+    fn take_stream(&self, progress: &Rc<RequestProgress>, patience: Duration) -> Option<BodyStream> {
         let mut stream = self.stream.borrow_mut().take()?;
         let (progress, on_complete) = (progress.clone(), self.on_complete.clone());
-        let answer_timeout = self.answer_timeout;
+        (self.on_begin)(patience);
         stream.at_end(Box::new(move |complete| {
             if complete {
-                progress.body_taken(Instant::now() + answer_timeout);
+                progress.body_taken(Instant::now() + patience);
                 on_complete();
             } else {
                 progress.body_failed.set(true);
