Failing test: errors of this machine at a dial close the backends

Seen red once: while no socket can be made (ENFILE, ENOBUFS, EADDRNOTAVAIL) each refused request costs backends that were never reached their good standing.

--- a/crates/cli/tests/system_errors.rs
+++ b/crates/cli/tests/system_errors.rs
@@ -5,7 +5,7 @@
 use std::process::{Command, Stdio};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use leadrelay_soak::faults::{Faults, LIBRARY, VARIABLE};
+use leadrelay_soak::faults::{Errno, Faults, LIBRARY, VARIABLE};
 use sockets::*;
 
 /// A proxy whose system calls can be made to fail.
@@ -102,3 +102,26 @@
         }
     }
 }
+
+#[test]
+fn connections_that_can_not_be_opened_here_are_no_fault_of_their_backends() {
+    for errno in [Errno::TooManyFiles, Errno::NoBuffers, Errno::AddressNotAvailable] {
+        let backends: Vec<Backend> = (0..4).map(|_| Backend::new(Deed::Write(ok("served")))).collect();
+        let hosts: Vec<String> =
+            (0..4).map(|n| host(&format!("s-{n}"), backends[n].address, "up", 0)).collect();
+        let faulty = Faulty::up(&hosts);
+        match errno {
+            Errno::AddressNotAvailable => faulty.faults.fail_sockets(None, None, Some(errno), 100),
+            _ => faulty.faults.fail_sockets(None, Some(errno), None, 100),
+        }
+        for n in 0..8 {
+            let answer = Client::new(&faulty.proxy).ask(&page(&format!("r-{n}"))).expect("an answer");
+            assert_eq!(answer.status(), 503, "{errno:?}: nothing can be sent");
+            assert!(answer.header("retry-after").is_some(), "{errno:?}");
+        }
+        faulty.faults.clear();
+        std::thread::sleep(Duration::from_millis(150)); // until the figures have been counted anew
+        assert_eq!((faulty.members("ill"), faulty.members("trial")), (Some(0), Some(0)), "{errno:?}");
+        assert_eq!(Client::new(&faulty.proxy).ask(&page("r-after")).expect("an answer").status(), 200);
+    }
+}
