An error of this machine at a dial is not held against the backend

Cause: upstream/attempt.rs, send, reported every failed dial as connect_failed, by which health.rs closes the backend, also where this machine had no descriptor, memory or port (EMFILE, ENFILE, ENOMEM, ENOBUFS, EADDRINUSE, EADDRNOTAVAIL). Such an attempt was never sent and is reported so; the connection that has been idle longest is closed. ENETUNREACH stays the path's fault: it may concern some backends alone, and where it concerns all, the core does not believe that all are ill.

--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -8,6 +8,14 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Errors of Linux by their numbers.
+const ENOMEM: i32 = 12;
+const ENFILE: i32 = 23;
+const EMFILE: i32 = 24;
+const EADDRINUSE: i32 = 98;
+const EADDRNOTAVAIL: i32 = 99;
+const ENOBUFS: i32 = 105;
+
 /// What can be read from a socket next.
 #[derive(PartialEq)]
 pub enum Peeked {
@@ -71,6 +79,13 @@
     matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
 }
 
+/// Whether a connection could not be opened for want of something here: a descriptor, memory or a port. It says nothing of
+/// the other side.
+pub fn is_local(error: &io::Error) -> bool {
+    const LOCAL: [i32; 6] = [EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRINUSE, EADDRNOTAVAIL];
+    error.raw_os_error().is_some_and(|number| LOCAL.contains(&number))
+}
+
 /// A connection on which interrupted calls are made again; the runtime's own passes them on as errors.
 pub struct Uninterrupted(pub TcpStream);
 
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -10,7 +10,7 @@
 use hyper::body::Body as _;
 use leadrelay_core::Outcome;
 use tokio::time::{Instant, timeout, timeout_at};
-use tracing::info;
+use tracing::{info, warn};
 
 use super::connection::Connection;
 use super::endpoint::{Endpoint, IdleConnection};
@@ -22,6 +22,7 @@
 use super::request_progress::RequestProgress;
 use crate::body_stream::BodyStream;
 use crate::close_reason::BackendClose;
+use crate::socket::is_local;
 
 /// Longest wait until a connection is ready for its next request.
 const READY_TIMEOUT: Duration = Duration::from_secs(1);
@@ -103,6 +104,11 @@
             {
                 Ok(Ok(connection)) => connection,
                 Err(_) if attempt.is_too_late_to_begin() => return Err(NotSent::Moot),
+                Ok(Err(error)) if is_local(&error) => {
+                    warn!(%error, "no connection can be opened");
+                    self.close_idle(); // it may free what lacks
+                    return Err(NotSent::Moot);
+                }
                 Ok(Err(_)) | Err(_) => return Err(NotSent::NoConnection),
             };
             let request = attempt.start_on(&connection).ok_or(NotSent::Moot)?;
