All that was read behind the first request of a queued connection dates from the queue

Cause: frontend/connection.rs, Client::received, dated only the first request of a connection by the accept queue; one that came behind it counted from its read. Both dates hold for both now.

--- a/crates/proxy/src/frontend/client.rs
+++ b/crates/proxy/src/frontend/client.rs
@@ -42,8 +42,10 @@
     pub(super) request_due: Cell<Instant>,
     pub(super) accepted_at: Instant,
     pub(super) address: IpAddr,
-    /// The earliest time at which it may have entered the accept queue, until its first request has been read.
-    pub(super) queued_since: Cell<Option<Instant>>,
+    /// The earliest time at which it may have entered the accept queue.
+    pub(super) queued_since: Instant,
+    /// No request has been read on it yet.
+    pub(super) first_request: Cell<bool>,
     /// When bytes were last read from it.
     pub(super) last_read: Cell<Instant>,
     /// The client has closed its sending side.
@@ -77,7 +79,8 @@
             request_due: Cell::new(now + REQUEST_TIMEOUT),
             accepted_at: now,
             address,
-            queued_since: Cell::new(Some(queued_since)),
+            queued_since,
+            first_request: Cell::new(true),
             last_read: Cell::new(now),
             read_closed: Cell::new(false),
             raw_head: RefCell::default(),
--- a/crates/proxy/src/frontend/connection.rs
+++ b/crates/proxy/src/frontend/connection.rs
@@ -154,11 +154,12 @@
             self.request_due.set(Instant::now() + REQUEST_TIMEOUT);
         }
         let raw_head = (!pipelined).then(|| self.raw_head.take());
-        // A request that arrived while its connection was in the accept queue is as old as that.
-        let queued_since = self.queued_since.take().filter(|_| self.accepted_at.elapsed() < GRACE);
         // One that was read behind another has been there since.
         let read_at = if pipelined { self.last_read.get() } else { Instant::now() };
-        let arrived_at = queued_since.unwrap_or(read_at);
+        // What arrived while its connection was in the accept queue is as old as that.
+        let came_first = self.first_request.replace(false) || pipelined;
+        let was_queued = came_first && read_at - self.accepted_at < GRACE;
+        let arrived_at = if was_queued { self.queued_since } else { read_at };
         Received { request, arrived_at, raw_head }
     }
 
