--- /dev/null
+++ b/crates/proxy/src/config/platform/tests.rs
@@ -0,0 +1,83 @@
+//! The operators' configuration.
+
+use leadrelay_core::settings::Connections;
+
+use super::*;
+
+const GOOD: &str = r#"{"name":"n0","listen":"127.0.0.1:9000","discovery":"127.0.0.1:8500","seed":"8c1f",
+    "limits":{"sockets":512},"peer_listen":"127.0.0.1:1","peers":["127.0.0.1:1"],"peers_all":"127.0.0.1:2",
+    "known":null,"settings":{"classes":[{"name":"page","effect":"idempotent","deadline":900}],
+    "nInstances":1,"myNumber":0,"ceilings":{"mayTell":true,"dialTimeout":120,"idleClose":30000}}}"#;
+
+#[test]
+fn a_good_file_is_read_whole() {
+    let config = parse(GOOD).expect("good");
+    assert_eq!((config.seed, config.sockets), (0x8c1f, 512));
+    assert_eq!(config.connections, Connections { dial_timeout: 120.0, idle_close: 30_000.0 });
+    assert_eq!(config.names.classes, ["page"]);
+    assert_eq!(config.peers.expect("peers are allowed").peers.len(), 1);
+}
+
+#[test]
+fn peers_are_left_alone_where_the_settings_forbid_them() {
+    assert!(parse(&GOOD.replace("\"mayTell\":true", "\"mayTell\":false")).expect("good").peers.is_none());
+}
+
+#[test]
+fn a_process_that_runs_takes_nothing_from_a_broken_file() {
+    let good = GOOD
+        .replace("\"deadline\":900", "\"deadline\":900,\"promise\":500,\"worth\":1.0")
+        .replace("\"mayTell\":true", "\"mayTell\":true,\"maxAttempts\":3");
+    let running = parse(&good).expect("good").origin;
+    let file = std::env::temp_dir().join(format!("reread-{}.json", std::process::id()));
+    let reread = |text: &str| {
+        std::fs::write(&file, text).expect("a file");
+        super::super::reread(&file, &running).map(|config| config.names.classes)
+    };
+    assert_eq!(reread(&good), Ok(vec!["page".to_owned()]));
+    // A class may be added, and its effect be another one.
+    let added = "{\"name\":\"x\",\"effect\":\"at_most_once\",\"deadline\":1,\"promise\":1,\"worth\":1},{\"name\":\"page\"";
+    assert_eq!(reread(&good.replace("{\"name\":\"page\"", added)).expect("good").len(), 2);
+    for (from, to) in [
+        (good.as_str(), ""),
+        ("\"settings\"", "\"other\""),
+        ("\"discovery\":\"127.0.0.1:8500\",", ""),
+        ("\"limits\":{\"sockets\":512},", ""),
+        ("\"ceilings\"", "\"floors\""),
+        ("\"dialTimeout\":120,", ""),
+        ("\"deadline\":900,", ""),
+        ("\"effect\":\"idempotent\",", ""),
+        ("\"effect\":\"idempotent\"", "\"effect\":\"perhaps\""),
+        ("\"effect\":\"idempotent\"", "\"effect\":\"deduplicated\""),
+        ("\"deadline\":900", "\"deadline\":0"),
+        ("\"deadline\":900", "\"deadline\":-1"),
+        ("\"deadline\":900", "\"deadline\":\"900\""),
+        ("\"deadline\":900", "\"deadline\":null"),
+        ("\"maxAttempts\":3", "\"maxAttempts\":0"),
+        ("\"maxAttempts\":3", "\"maxAttempts\":-3"),
+        ("\"maxAttempts\":3", "\"maxAttempts\":\"3\""),
+        ("\"maxAttempts\":3", "\"maxAttempts\":2.5"),
+        ("\"nInstances\":1", "\"nInstances\":[]"),
+    ] {
+        assert!(good.contains(from), "{from}");
+        assert!(reread(&good.replace(from, to)).is_err(), "{from} -> {to}");
+    }
+    for cut in 1..good.len() - 1 {
+        assert!(reread(&good[..cut]).is_err(), "cut at {cut}");
+    }
+    std::fs::remove_file(&file).expect("it is there");
+}
+
+#[test]
+fn what_is_wrong_is_named() {
+    for (from, to, word) in [
+        ("127.0.0.1:9000", "nowhere", "socket address"),
+        ("\"seed\":\"8c1f\",", "", "seed"),
+        ("\"name\":\"page\",", "", "classes"),
+        ("\"myNumber\":0", "\"myNumber\":3", "number 3 of 1"),
+        ("{\"name\"", "{\"name", "line"),
+    ] {
+        let error = parse(&GOOD.replace(from, to)).expect_err(to).message;
+        assert!(error.contains(word), "{to}: {error}");
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/metrics/tests.rs
@@ -0,0 +1,49 @@
+//! What is counted, and its two forms.
+
+use super::*;
+
+#[test]
+fn a_request_is_pending_until_it_ends_for_one_cause() {
+    let metrics = Arc::new(Metrics::default());
+    metrics.show("idle");
+    let take = || metrics.start_request("page", Instant::now());
+    let (served, left) = (take(), take());
+    assert_eq!(metrics.report()["pending"], 2);
+    served.end(Cause::Served);
+    drop(left);
+    let report = metrics.report();
+    assert_eq!(report["pending"], 0);
+    assert_eq!(report["completed"], json!({"idle": 0, "page": 1}));
+    assert_eq!((&report["rejected"]["page"], &report["failed"]["page"]), (&json!(0), &json!(0)));
+    assert_eq!((metrics.ended(Cause::Served), metrics.ended(Cause::ClientLeft)), (1, 1));
+}
+
+#[test]
+fn both_forms_tell_the_same_counts() {
+    let metrics = Arc::new(Metrics::default());
+    for cause in Cause::ALL {
+        metrics.start_request("page", Instant::now()).end(cause);
+    }
+    metrics.attempt(Outcome::Served, 20.0);
+    let mut now = Gauges::default();
+    now.standings[Standing::Ill as usize] = 2;
+    now.standings[Standing::InUse as usize] = 5;
+    metrics.gauge(&now);
+    let text = metrics.openmetrics();
+    for cause in Cause::ALL {
+        let line = format!("leadrelay_requests_total{{class=\"page\",cause=\"{}\"}} 1\n", cause.name());
+        assert!(text.contains(&line), "{line} in {text}");
+    }
+    for line in [
+        "leadrelay_members{standing=\"ill\"} 2",
+        "leadrelay_attempts_total{outcome=\"served\"} 1",
+        "leadrelay_attempt_seconds_bucket{le=\"0.025\"} 1",
+        "leadrelay_request_seconds_count{class=\"page\"} 8",
+        "# EOF",
+    ] {
+        assert!(text.contains(line), "{line} in {text}");
+    }
+    let report = metrics.report();
+    assert_eq!((&report["members"], &report["members_unavailable"]), (&json!(7), &json!(2)));
+    assert_eq!((&report["rejected"]["page"], &report["failed"]["page"]), (&json!(3), &json!(3)));
+}
