A hold-up between the readings of two clocks is not taken for a step

The wall clock's offset is looked at each 100 ms; a process that is held up between its two readings would note an offset that never was, by which backends that are told later count as younger. Such a pair of readings is left out now; the next look makes up for it.

--- a/crates/proxy/src/driver/clock.rs
+++ b/crates/proxy/src/driver/clock.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 /// A wall clock that differs by more from what it should show has been stepped, or has been slewed this far.
-const STEP_LEAST: Millis = 100.0;
+const STEP_LEAST: Duration = Duration::from_millis(100);
 /// A start may seem to lie so far ahead: machines read one clock, but not at one moment.
 const AHEAD_MOST: Millis = 1000.0;
 /// Settings of the wall clock that are remembered.
@@ -37,11 +37,16 @@
 
     /// Notes a step of the wall clock.
     pub fn follow_wall_clock(&mut self) {
-        self.note_offset(unix_now() - self.at(Instant::now()));
+        let before = Instant::now();
+        let unix = unix_now();
+        // Held up between the two readings, the process can't tell that from a step; it looks again.
+        if before.elapsed() < STEP_LEAST {
+            self.note_offset(unix - self.at(before));
+        }
     }
 
     fn note_offset(&mut self, offset: Millis) {
-        if (offset - self.offset()).abs() < STEP_LEAST {
+        if (offset - self.offset()).abs() < STEP_LEAST.as_secs_f64() * 1000.0 {
             return;
         }
         if self.offsets.len() == MAX_OFFSETS {
