--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -99,17 +99,19 @@
 
     /// Its process dies: its connections are reset and new ones refused.
     pub fn crash(&self) {
-        if let Some(running) = self.running.lock().unwrap_or_else(PoisonError::into_inner).take() {
-            running.abort();
-        }
+        self.running.lock().unwrap_or_else(PoisonError::into_inner).iter().for_each(JoinHandle::abort);
     }
 
     /// A new process starts at the same address; it is cold.
     ///
     /// # Errors
     /// If the port can't be had again.
-    pub fn restart(self: &Arc<Self>) -> io::Result<()> {
+    pub async fn restart(self: &Arc<Self>) -> io::Result<()> {
         self.crash();
+        let old = self.running.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(old) = old {
+            let _ = old.await; // then its port is free
+        }
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
         socket.bind(self.address)?;
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -127,7 +127,13 @@
     pub fn announce(&self, backend: usize, health: Health) -> usize {
         let since = Instant::now();
         self.discovery.tell(&self.backends[backend], health, None);
-        self.note_out_of_service(OutOfService { backend, proxy: None, since, until: None })
+        self.note_out_of_service(OutOfService {
+            backend,
+            proxy: None,
+            since,
+            until: None,
+            ends_with_process: false,
+        })
     }
 
     /// Discovery tells that a backend has left.
--- a/crates/soak/src/discovery.rs
+++ b/crates/soak/src/discovery.rs
@@ -69,7 +69,7 @@
 pub struct Discovery {
     list: Mutex<List>,
     changes: watch::Sender<u64>,
-    listeners: Mutex<Vec<(SocketAddr, Option<JoinHandle<()>>)>>,
+    listeners: Mutex<Vec<(SocketAddr, JoinHandle<()>)>>,
 }
 
 impl Discovery {
@@ -87,7 +87,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let task = tokio::spawn(self.clone().serve(listener));
-        self.listeners().push((address, Some(task)));
+        self.listeners().push((address, task));
         Ok(address)
     }
 
@@ -125,21 +125,23 @@
 
     /// It goes down: connections are refused and watches are reset.
     pub fn stop(&self) {
-        for (_, task) in self.listeners().iter_mut() {
-            task.take().iter().for_each(JoinHandle::abort);
-        }
+        self.listeners().iter().for_each(|(_, task)| task.abort());
     }
 
     /// It comes back.
     ///
     /// # Errors
     /// If a port can't be had again.
-    pub fn resume(self: &Arc<Self>) -> io::Result<()> {
-        for (address, task) in self.listeners().iter_mut().filter(|(_, task)| task.is_none()) {
+    pub async fn resume(self: &Arc<Self>) -> io::Result<()> {
+        let before = std::mem::take(&mut *self.listeners());
+        for (address, task) in before {
+            task.abort();
+            let _ = task.await; // then its port is free
             let socket = TcpSocket::new_v4()?;
             socket.set_reuseaddr(true)?;
-            socket.bind(*address)?;
-            *task = Some(tokio::spawn(self.clone().serve(socket.listen(256)?)));
+            socket.bind(address)?;
+            let task = tokio::spawn(self.clone().serve(socket.listen(256)?));
+            self.listeners().push((address, task));
         }
         Ok(())
     }
@@ -148,7 +150,7 @@
         self.list.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn listeners(&self) -> MutexGuard<'_, Vec<(SocketAddr, Option<JoinHandle<()>>)>> {
+    fn listeners(&self) -> MutexGuard<'_, Vec<(SocketAddr, JoinHandle<()>)>> {
         self.listeners.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -85,6 +85,8 @@
     pub since: Instant,
     /// Until when.
     pub until: Option<Instant>,
+    /// Whether it ends with the proxy's process: nothing that it was told outlives that.
+    pub ends_with_process: bool,
 }
 
 /// The start of a backend's process.
--- a/crates/soak/src/troubles.rs
+++ b/crates/soak/src/troubles.rs
@@ -215,7 +215,7 @@
             Trouble::Crash(backend) => {
                 self.backends[backend].crash();
                 sleep(span).await;
-                self.start_backend(backend)?;
+                self.start_backend(backend).await?;
             }
             Trouble::Misbehave { backend, mode } => {
                 self.backends[backend].set_mode(mode);
@@ -225,7 +225,7 @@
             Trouble::DiscoveryDown => {
                 self.discovery.stop();
                 sleep(2 * span).await;
-                self.discovery.resume()?;
+                self.discovery.resume().await?;
                 self.note_discovery_up();
             }
             Trouble::Discovery(mode) => {
@@ -240,7 +240,7 @@
                 sleep(span).await;
                 self.backends[backend].crash();
                 sleep(Duration::from_millis(100)).await;
-                self.start_backend(backend)?;
+                self.start_backend(backend).await?;
             }
             Trouble::SystemErrors { proxy, errno } => {
                 let percent = rng.u64(20..100);
@@ -284,17 +284,14 @@
         }
         let mut noted = Vec::new();
         for (proxy, since) in held {
-            noted.push(self.note_out_of_service(OutOfService {
-                backend,
-                proxy: Some(proxy),
-                since,
-                until: None,
-            }));
+            let ends_with_process = !self.proxies[proxy].can_upgrade();
+            let span = OutOfService { backend, proxy: Some(proxy), since, until: None, ends_with_process };
+            noted.push(self.note_out_of_service(span));
         }
         sleep(span).await;
         self.backends[backend].crash();
         sleep(Duration::from_millis(200)).await;
-        self.start_backend(backend)?;
+        self.start_backend(backend).await?;
         sleep(Duration::from_millis(300)).await;
         // From the first call back on, whether or not it is answered, the backend may be used again.
         self.end_out_of_service(&noted);
@@ -317,12 +314,12 @@
         self.backends[backend].crash();
         sleep(span / 2).await;
         self.end_out_of_service(&[noted]);
-        self.start_backend(backend)
+        self.start_backend(backend).await
     }
 
     /// Starts a new process of a backend and lets discovery tell of it.
-    fn start_backend(&self, backend: usize) -> anyhow::Result<()> {
-        self.backends[backend].restart()?;
+    async fn start_backend(&self, backend: usize) -> anyhow::Result<()> {
+        self.backends[backend].restart().await?;
         self.discovery.tell(&self.backends[backend], Health::Up, Some(self.wall_clock()));
         Ok(())
     }
