--- a/crates/cli/tests/system_errors.rs
+++ b/crates/cli/tests/system_errors.rs
@@ -114,7 +114,7 @@
             Errno::AddressNotAvailable => faulty.faults.fail_sockets(None, None, Some(errno), 100),
             _ => faulty.faults.fail_sockets(None, Some(errno), None, 100),
         }
-        for n in 0..6 {
+        for n in 0..8 {
             let text = page(&format!("r-{n}")).replace("X-Timeout: 5\r", "X-Timeout: 0.6\r");
             let answer = Client::new(&faulty.proxy).ask(&text).expect("an answer");
             assert_eq!(answer.status(), 503, "{errno:?}: nothing can be sent");
