Proxies that hear no other proxy no longer take all capacity for idle

Cause: a peer's report counts for 500 ms (gossip/state.rs). Once none is heard, expected_concurrency counts this proxy's own attempts alone, and each proxy of the fleet fills the endpoints that are slow just then.

While some proxies are heard it follows what all others have in flight; while none is, that is spread over the endpoints by capacity, less what their clients now ask for here, so that the capacity of proxies that have failed is used.

--- a/crates/core/src/balancer/housekeeping.rs
+++ b/crates/core/src/balancer/housekeeping.rs
@@ -40,6 +40,7 @@
         self.latency.normalize(&mut self.endpoints);
         self.latency.update_mean();
         self.concurrency.update_mean_capacity(&self.endpoints);
+        self.follow_unheard_load();
         self.latency.review_baselines();
         self.reclaim_endpoints(now);
         self.outliers.review(&self.endpoints, now);
--- a/crates/core/src/balancer/mod.rs
+++ b/crates/core/src/balancer/mod.rs
@@ -22,7 +22,7 @@
 use crate::endpoints::{EndpointTable, SpeedTiers};
 use crate::estimators::{ArrivalRate, LatencyModel, RequestCosts};
 use crate::events::Event;
-use crate::gossip::GossipState;
+use crate::gossip::{GossipState, UnheardLoad};
 use crate::ids::{Millis, RequestId};
 use crate::invariant::Violations;
 use crate::limits::{CapacitySharing, ConcurrencyLimiter, RetryBudget, TenantQuotas};
@@ -57,6 +57,7 @@
     outliers: OutlierDetector,
     concurrency: ConcurrencyLimiter,
     gossip: GossipState,
+    unheard_load: UnheardLoad,
     subscription: Subscription,
     overrides: OperatorOverrides,
     decisions: DecisionCounts,
@@ -84,6 +85,7 @@
             outliers: OutlierDetector::new(classes),
             concurrency: ConcurrencyLimiter::new(),
             gossip: GossipState::new(settings.proxies),
+            unheard_load: UnheardLoad::default(),
             subscription: Subscription::new(),
             overrides: OperatorOverrides::default(),
             decisions: DecisionCounts::default(),
--- a/crates/core/src/balancer/peers.rs
+++ b/crates/core/src/balancer/peers.rs
@@ -3,7 +3,7 @@
 use super::Balancer;
 use crate::actions::Action;
 use crate::endpoints::EndpointIndex;
-use crate::gossip::{Message, PeerReport};
+use crate::gossip::{FleetView, Message, PeerReport};
 use crate::ids::Millis;
 
 impl Balancer {
@@ -41,6 +41,16 @@
         report.map_or_else(Vec::new, |report| report.loaded_endpoints().collect())
     }
 
+    /// Follows what the other proxies have in flight, for as long as none of them is heard.
+    pub(super) fn follow_unheard_load(&mut self) {
+        let view = FleetView {
+            active_proxies: self.sharing().active_proxies(),
+            reporting_peers: self.gossip.reporting_peers(),
+            arrivals_per_ms: self.arrivals.per_ms(),
+        };
+        self.unheard_load.update(&self.endpoints, &view);
+    }
+
     /// Reports this proxy's load to the others, as often as its budget of bytes allows.
     pub(super) fn publish_gossip(&mut self, now: Millis, out: &mut Vec<Action>) {
         let attempts = self.requests.running().len() + self.abandoned.len();
--- a/crates/core/src/endpoints/entry.rs
+++ b/crates/core/src/endpoints/entry.rs
@@ -167,8 +167,12 @@
     /// zones take none of its time.
     pub fn expected_concurrency(&self, zone: Option<ZoneId>) -> f64 {
         let own_fraction = if self.crosses_zones_from(zone) { self.processing_fraction } else { 1.0 };
-        f64::from(self.load.own) * own_fraction
-            + f64::from(self.load.peers_same_zone)
+        f64::from(self.load.own) * own_fraction + self.reported_concurrency()
+    }
+
+    /// The attempts of other proxies expected to be at the endpoint itself, by their reports.
+    pub fn reported_concurrency(&self) -> f64 {
+        f64::from(self.load.peers_same_zone)
             + f64::from(self.load.peers_other_zones) * self.processing_fraction
     }
 
--- a/crates/core/src/estimators/arrivals.rs
+++ b/crates/core/src/estimators/arrivals.rs
@@ -4,7 +4,7 @@
 use crate::schedule::TICK;
 
 /// Duration over which the rate is averaged.
-const AVERAGING_TIME: Millis = 2000.0;
+pub(crate) const AVERAGING_TIME: Millis = 2000.0;
 /// Shortest duration over which arrivals are counted before they are added to the average.
 const MIN_COUNTING_TIME: Millis = 10.0 * TICK;
 
--- a/crates/core/src/estimators/mod.rs
+++ b/crates/core/src/estimators/mod.rs
@@ -5,7 +5,7 @@
 mod latency;
 mod request_cost;
 
-pub(crate) use arrivals::ArrivalRate;
+pub(crate) use arrivals::{AVERAGING_TIME, ArrivalRate};
 pub(crate) use latency::{HANG_FACTOR, LatencyModel, LatencySample};
 pub(crate) use request_cost::RequestCosts;
 
--- a/crates/core/src/gossip/state.rs
+++ b/crates/core/src/gossip/state.rs
@@ -151,6 +151,11 @@
         Some(report)
     }
 
+    /// Other proxies whose reports count at present.
+    pub fn reporting_peers(&self) -> usize {
+        self.reports.iter().flatten().count()
+    }
+
     /// All peers.
     pub fn peers(&self) -> std::ops::Range<usize> {
         0..self.reports.len()
--- a/crates/core/tests/affinity.rs
+++ b/crates/core/tests/affinity.rs
@@ -92,6 +92,29 @@
     assert!((1..=harnesses.len() / 2).contains(&sent), "{sent} of 40 proxies' requests for one endpoint");
 }
 
+/// Guards against a fleet whose gossip is lost and whose proxies each take the capacity of all endpoints for idle.
+#[test]
+fn load_of_unheard_proxies_is_not_taken_for_idle() {
+    let (mut harnesses, word) = fleet_with_one_server(40);
+    let (one, none) = (word(1), word(0));
+    let mut sent = 0;
+    for harness in &mut harnesses {
+        for _ in 0..40 {
+            for from in 1..40 {
+                let bytes = if from < 9 { one.clone() } else { none.clone() };
+                harness.handle(Event::Gossip { from, bytes });
+            }
+            harness.advance(100.0);
+        }
+        harness.advance(1000.0); // no proxy is heard any more
+        let (id, class, tenant, expected_cost) = (RequestId(100), ClassId(0), None, None);
+        let key = Some(AffinityKey(1));
+        let request = Event::Request { id, class, tenant, key, timeout: 2000.0, expected_cost };
+        sent += sends(&harness.handle(request)).len() + sends(&harness.advance(200.0)).len();
+    }
+    assert!(sent <= 4, "{sent} of 40 proxies' requests for one endpoint that held eight");
+}
+
 #[test]
 fn stale_reports_allow_extra_requests() {
     // herd+vast: a endpoint counted as full with one request, though it was idle again long before that showed.
