A client that got 408 for its stalled body is not counted as unanswered

Operators saw leadrelay_invariant_violations_total{answered_before_close} grow, and an error in the log, for clients that had been answered: once for each streamed body that stalled or was malformed.

Cause: the guard that gives a request up when its future is dropped stayed armed in the error arm of respond_with_answer (frontend/forward.rs), and counts a violation if the client is still connected, which it is.

Change: the arm gives the request up in the driver and disarms the guard. unfinished_body_violates_no_invariant counted 1 without the change, 0 with it.

--- a/crates/cli/tests/bodies.rs
+++ b/crates/cli/tests/bodies.rs
@@ -167,6 +167,21 @@
     assert!(backend.requests().is_empty(), "no backend got one whole");
 }
 
+/// Guards against a stalled body whose client has its answer and that is counted as closed without one.
+#[test]
+fn unfinished_body_violates_no_invariant() {
+    let backend = Backend::new(Reply::Write(ok("")));
+    let (_discovery, proxy) = proxy_with_setup(&[&backend], Setup::default());
+    let mut client = proxy.client();
+    client.send(&submit("r-1", "5", "").replace("Content-Length: 0", "Content-Length: 2000000"));
+    client.send(&"x".repeat(1_000_000));
+    assert_eq!(client.last_response(), Some((408, true)));
+    wait_for("its end", || proxy.stat("/pending") == 0);
+    let violations =
+        "leadrelay_invariant_violations_total{invariant=\"answered_before_close\",layer=\"socket\"}";
+    assert_eq!(proxy.metric(violations), 0);
+}
+
 #[test]
 fn slowly_sent_small_body_is_accepted() {
     let backend = Backend::new(Reply::Write(ok("")));
--- a/crates/cli/tests/sockets/proxy.rs
+++ b/crates/cli/tests/sockets/proxy.rs
@@ -152,7 +152,8 @@
         self.metric("leadrelay_requests_waiting")
     }
 
-    fn metric(&self, name: &str) -> u64 {
+    /// A metric, by its name and labels.
+    pub fn metric(&self, name: &str) -> u64 {
         let text = self.admin_call("GET /metrics").text();
         let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
         line.expect("a line").parse().expect("a number")
--- a/crates/proxy/src/frontend/cancellation.rs
+++ b/crates/proxy/src/frontend/cancellation.rs
@@ -26,6 +26,12 @@
     pub(super) fn disarm(mut self) {
         self.armed = false;
     }
+
+    /// The request is answered without the driver, which is to give it up.
+    pub(super) fn answer_without_driver(self) {
+        self.frontend.inbox.put(Input::ClientDisconnected(self.id));
+        self.disarm();
+    }
 }
 
 impl Drop for CancelOnDrop<'_> {
--- a/crates/proxy/src/frontend/forward.rs
+++ b/crates/proxy/src/frontend/forward.rs
@@ -92,6 +92,7 @@
                 self.final_response(answer, ticket, client)
             }
             Err(error) => {
+                cancellation.answer_without_driver();
                 ticket.end(Cause::RequestBodyBroken);
                 rejection_response(error.into())
             }
