A request that crosses the close of an idle connection is served or reset, not dropped

Clients whose request crossed the close of their idle connection waited for nothing: the proxy read it and dropped it, and the client was told neither that it had been read nor that it had not.

Cause: the close goes by the recorded stage (connection.rs, begin_close), never by what the socket holds; and after the half-close linger.rs reads and drops, which is right for a client that has just been rejected and wrong for one whose connection was idle: it has its response, or it would not send the next request.

Change: an idle connection on which bytes have arrived is not closed but served, with Connection: close. After the close of an idle one nothing is read: a request that still comes stays unread and the connection is reset, by which the client knows that it may send it elsewhere. One place for SIGTERM, eviction, drain and idle time.

request_after_close_at_sigterm_is_reset failed without the change: no reset up to the end of the process. request_before_close_at_sigterm_is_served passed before too; it guards the other order.

--- /dev/null
+++ b/crates/cli/tests/idle_connections.rs
@@ -0,0 +1,53 @@
+//! Idle connections of clients that the proxy closes, and requests that cross the close.
+mod sockets;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+use sockets::*;
+
+/// An idle connection: its first request has been answered.
+fn idle_connection(proxy: &Proxy) -> Client {
+    let mut client = proxy.client();
+    assert_eq!(status(client.request(&page("r-first"))), 200);
+    client
+}
+
+/// Sends a request on a connection that the proxy has closed; whether it is reset before the proxy has ended.
+fn is_reset_by_request(client: Client, proxy: &mut Proxy) -> bool {
+    let mut stream: TcpStream = client.into_stream();
+    assert_eq!(stream.read(&mut [0]).expect("the proxy's end"), 0);
+    stream.write_all(page("r-crossing").as_bytes()).expect("this side is open");
+    let mut is_reset = false;
+    wait_for("a reset or the proxy's end", || {
+        // A read only tells the end that came first.
+        is_reset = stream.take_error().expect("an open socket").is_some();
+        is_reset || !proxy.is_running()
+    });
+    is_reset
+}
+
+/// Guards against requests that are read and dropped after the close of an idle connection.
+#[test]
+fn request_after_close_at_sigterm_is_reset() {
+    let backend = Backend::new(Reply::Write(ok("")));
+    let (_discovery, mut proxy) = proxy_with(&[&backend]);
+    let client = idle_connection(&proxy);
+    proxy.terminate();
+    assert!(is_reset_by_request(client, &mut proxy), "the client waits for nothing");
+    assert_eq!(backend.requests().len(), 1);
+}
+
+#[test]
+fn request_before_close_at_sigterm_is_served() {
+    let backend = Backend::new(Reply::Write(ok("")));
+    let (_discovery, proxy) = proxy_with(&[&backend]);
+    let mut client = idle_connection(&proxy);
+    proxy.pause();
+    client.send(&page("r-crossing"));
+    proxy.terminate();
+    proxy.resume();
+    let response = client.response().expect("a response");
+    assert_eq!((response.status(), response.header("connection")), (200, Some("close")));
+    assert!(client.is_closed());
+}
--- a/crates/cli/tests/sockets/client.rs
+++ b/crates/cli/tests/sockets/client.rs
@@ -62,6 +62,12 @@
         (stream.local_addr().expect("a connection"), stream.peer_addr().expect("a connection"))
     }
 
+    /// The connection itself; nothing that has been read is left over.
+    pub fn into_stream(self) -> TcpStream {
+        assert!(self.0.buffer().is_empty(), "all has been read");
+        self.0.into_inner()
+    }
+
     /// Resets the connection.
     pub fn reset(self) {
         let socket = socket2::SockRef::from(self.0.get_ref());
--- a/crates/proxy/src/frontend/client.rs
+++ b/crates/proxy/src/frontend/client.rs
@@ -51,6 +51,10 @@
     pub(super) last_read: Cell<Instant>,
     /// The client has closed its sending side.
     pub(super) read_closed: Cell<bool>,
+    /// Its next response closes the connection.
+    pub(super) closes_with_response: Cell<bool>,
+    /// The connection has been closed between two requests.
+    pub(super) closed_while_idle: Cell<bool>,
     /// The raw bytes of the head being read.
     pub(super) raw_head: RefCell<Vec<u8>>,
     /// Notices that it takes nothing of a streamed response.
@@ -82,6 +86,8 @@
             awaits_first_request: Cell::new(true),
             last_read: Cell::new(now),
             read_closed: Cell::new(false),
+            closes_with_response: Cell::new(false),
+            closed_while_idle: Cell::new(false),
             raw_head: RefCell::default(),
             write_watchdog: WriteWatchdog::new(now),
             close: Notify::new(),
--- a/crates/proxy/src/frontend/connection.rs
+++ b/crates/proxy/src/frontend/connection.rs
@@ -15,6 +15,7 @@
 use super::linger::reject_incomplete;
 use super::{Frontend, MAX_HEAD_BYTES};
 use crate::close_reason::ClientClose;
+use crate::socket::{PeekResult, peek};
 
 /// A connection asked to close is cut after this time, unless a request is in flight.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -145,7 +146,18 @@
                 reject_incomplete(&self.stream, overdue);
                 NextStep::Linger
             }
-            Stage::Lingering | Stage::Idle | Stage::InFlight => NextStep::ShutDownGracefully,
+            Stage::Idle => self.begin_idle_close(),
+            Stage::Lingering | Stage::InFlight => NextStep::ShutDownGracefully,
         }
     }
+
+    /// Begins to close the connection between two requests, unless the next one has arrived and has not been read.
+    fn begin_idle_close(&self) -> NextStep {
+        if peek(&self.stream) == PeekResult::Bytes {
+            self.closes_with_response.set(true);
+            return NextStep::Serve;
+        }
+        self.closed_while_idle.set(true);
+        NextStep::ShutDownGracefully
+    }
 }
--- a/crates/proxy/src/frontend/linger.rs
+++ b/crates/proxy/src/frontend/linger.rs
@@ -1,7 +1,8 @@
 //! The end of a connection whose client may still be sending.
 //!
 //! A close would reset the connection before the client has read its response, so what it sends is read and dropped
-//! for a while.
+//! for a while. A client that sends a request after the close of its idle connection has read the response before it:
+//! that request is not read, and the reset tells the client that it may send it again elsewhere.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,11 +21,17 @@
 const MAX_LINGER_BYTES: usize = 72 << 20;
 
 impl Frontend {
-    /// Reads and drops what the client still sends, within bounds.
+    /// Waits for the client to close its side, within bounds.
     pub(super) async fn linger(&self, client: &Rc<Client>) {
         self.set_stage(client, Stage::Lingering);
+        let end = async {
+            match client.closed_while_idle.get() {
+                true => input_or_end(&client.stream).await,
+                false => discard_input(&client.stream).await,
+            }
+        };
         tokio::select! {
-            _ = timeout(MAX_LINGER_TIME, discard_input(&client.stream)) => {}
+            _ = timeout(MAX_LINGER_TIME, end) => {}
             () = client.close_requested() => {}
         }
     }
@@ -38,6 +45,11 @@
     let _ = stream.try_write(response.as_bytes()); // a client that has disconnected needs none
 }
 
+/// Returns once the client has sent anything more or closed its side; reads nothing.
+async fn input_or_end(stream: &TcpStream) {
+    while stream.peek(&mut [0]).await.is_err_and(|error| is_transient(&error)) {}
+}
+
 /// Closes the sending side and reads on until the client closes its own, or has sent too much.
 async fn discard_input(stream: &TcpStream) {
     if half_close(stream).is_err() {
--- a/crates/proxy/src/frontend/service.rs
+++ b/crates/proxy/src/frontend/service.rs
@@ -31,8 +31,9 @@
         } else {
             self.respond(received, client).await.inspect_err(|_| client.read_closed.set(true))?
         };
+        let closes = self.draining() || client.closes_with_response.get();
         // After a malformed request nobody knows where the next one would start.
-        if overloaded || self.draining() || response.status().is_client_error() {
+        if overloaded || closes || response.status().is_client_error() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         } else if !client.write_watchdog.is_streaming() {
             self.set_stage(client, Stage::Idle);
