A client that closes its idle connection is logged as such, with the ages of both

Operators read with_answer for connections that the client had closed between two requests, so that a client that leaves could not be told from one that had been asked to close.

Cause: hyper ends both without an error, and close_reason looked at nothing else. Change: an end that was read while no request was in flight counts as by_client; the log line gets the age of the connection and of its last read. close_by_idle_client_is_counted_as_its_own: (by_client, with_answer) was (0, 1) without the change, (1, 0) with it.

--- a/crates/cli/tests/idle_connections.rs
+++ b/crates/cli/tests/idle_connections.rs
@@ -51,3 +51,19 @@
     assert_eq!((response.status(), response.header("connection")), (200, Some("close")));
     assert!(client.is_closed());
 }
+
+/// Guards against a client that leaves between two requests and is counted as closed by the proxy.
+#[test]
+fn close_by_idle_client_is_counted_as_its_own() {
+    let backend = Backend::new(Reply::Write(ok("")));
+    let discovery = Discovery::new();
+    discovery.publish(&all_up(&[&backend]));
+    let proxy = Proxy::start(&discovery, &setup_with_admin());
+    let closed = |reason: &str| {
+        proxy.metric(&format!("leadrelay_client_connections_closed_total{{reason=\"{reason}\"}}"))
+    };
+    wait_for("readiness", || proxy.admin_call("GET /healthcheck").status() == 200);
+    drop(idle_connection(&proxy));
+    wait_for("a close", || closed("by_client") + closed("with_answer") == 1);
+    assert_eq!((closed("by_client"), closed("with_answer")), (1, 0));
+}
--- a/crates/proxy/src/frontend/connection.rs
+++ b/crates/proxy/src/frontend/connection.rs
@@ -102,21 +102,12 @@
     }
 }
 
-/// Why hyper has ended a connection.
-fn close_reason(result: &hyper::Result<()>) -> ClientClose {
-    match result {
-        Ok(()) => ClientClose::WithResponse,
-        Err(error) if error.is_parse() => ClientClose::Malformed,
-        Err(_) => ClientClose::ByClient,
-    }
-}
-
 impl Client {
     /// What an event leads to; records why the connection is closed.
     fn next_step(&self, event: ConnectionEvent) -> NextStep {
         match event {
             ConnectionEvent::Ended(result) => {
-                self.record_close_reason(close_reason(&result));
+                self.record_close_reason(self.reason_of_end(&result));
                 NextStep::Linger
             }
             ConnectionEvent::CloseRequested => self.begin_close(),
@@ -136,6 +127,16 @@
         }
     }
 
+    /// Why hyper has ended the connection.
+    fn reason_of_end(&self, result: &hyper::Result<()>) -> ClientClose {
+        match result {
+            Ok(()) if self.stage.get() != Stage::InFlight && self.read_closed.get() => ClientClose::ByClient,
+            Ok(()) => ClientClose::WithResponse,
+            Err(error) if error.is_parse() => ClientClose::Malformed,
+            Err(_) => ClientClose::ByClient,
+        }
+    }
+
     /// Begins to close the connection, as its stage allows.
     fn begin_close(&self) -> NextStep {
         match self.stage.get() {
--- a/crates/proxy/src/frontend/listener.rs
+++ b/crates/proxy/src/frontend/listener.rs
@@ -108,6 +108,12 @@
     fn record_closed(&self, client: &Client) {
         let reason = client.close_reason();
         self.metrics.client_closed(reason);
-        debug!(client = %client.address, reason = reason.name(), "client connection closed");
+        debug!(
+            client = %client.address,
+            reason = reason.name(),
+            age_ms = client.accepted_at.elapsed().as_millis() as u64,
+            last_read_ms = client.last_read.get().elapsed().as_millis() as u64,
+            "client connection closed"
+        );
     }
 }
