Connects that fail for a moment on this machine are made again

Cause: one failed call withdraws the attempt (attempt.rs, connect), and a request is not sent again to an endpoint that it was withdrawn from; after four failures in a row it has tried every backend and waits. ENETUNREACH counted against the backend, as it was not among the local errors (socket.rs).

Change: a connect that lacks a descriptor, a port, a buffer or a route is made again after 1, 2, 4 ms and so on for 100 ms, in dial.rs. Then it is withdrawn as before; without a route it counts as a failed connection, as the backend is of no use then.

connect_errors_on_every_second_call_are_borne: red without the change, green with it (98 of 100 or more for EADDRNOTAVAIL, ENETUNREACH and ENFILE, no backend ejected).

--- a/crates/cli/tests/system_errors.rs
+++ b/crates/cli/tests/system_errors.rs
@@ -129,6 +129,38 @@
     }
 }
 
+/// Requests of a hundred that are served by backends that close each connection, while half of the proxy's calls to
+/// open one fail.
+fn served_of_a_hundred(errors: SocketErrors) -> usize {
+    let response = ok("served").replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
+    let backends: Vec<Backend> = (0..4).map(|_| Backend::new(Reply::Write(response.clone()))).collect();
+    let hosts: Vec<String> =
+        (0..4).map(|number| host(&format!("s-{number}"), backends[number].address, "up", 0)).collect();
+    let proxy = FaultyProxy::start(&hosts);
+    proxy.faults.fail_sockets(errors, 50);
+    let mut client = proxy.process.client();
+    let mut served = 0;
+    for number in 0..100 {
+        let text = page(&format!("r-{number}")).replace("X-Timeout: 5\r", "X-Timeout: 1\r");
+        served += usize::from(client.request(&text).expect("a response").status() == 200);
+    }
+    assert_eq!((proxy.members("ill"), proxy.members("trial")), (Some(0), Some(0)), "{errors:?}");
+    served
+}
+
+/// Guards against momentary errors of this machine that are held against backends or leave requests unserved.
+#[test]
+fn connect_errors_on_every_second_call_are_borne() {
+    for errno in [Errno::AddressNotAvailable, Errno::NetworkUnreachable] {
+        let errors = SocketErrors { connect: Some(errno), ..SocketErrors::default() };
+        let served = served_of_a_hundred(errors);
+        assert!(served >= 98, "{errno:?}: {served} of 100");
+    }
+    let errors = SocketErrors { socket: Some(Errno::TooManyFiles), ..SocketErrors::default() };
+    let served = served_of_a_hundred(errors);
+    assert!(served >= 98, "no descriptor: {served} of 100");
+}
+
 #[test]
 fn late_accepted_requests_send_their_remaining_time() {
     let backend = Backend::new(Reply::Write(ok("served")));
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -88,6 +88,11 @@
     error.raw_os_error().is_some_and(|number| LOCAL_ERRORS.contains(&number))
 }
 
+/// Whether this machine has no route to the other side at present.
+pub fn is_no_route(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::NetworkUnreachable
+}
+
 /// A connection that retries interrupted calls; the runtime's own passes them on as errors.
 pub struct Uninterrupted(pub TcpStream);
 
--- a/crates/proxy/src/upstream/dial.rs
+++ b/crates/proxy/src/upstream/dial.rs
@@ -5,27 +5,37 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::error::Elapsed;
+use tokio::time::{Instant, sleep};
 
 use super::connection::{Connection, MeteredSocket};
 use super::request_progress::RequestProgress;
 use crate::metrics::Metrics;
-use crate::socket::is_local_error;
+use crate::socket::{is_local_error, is_no_route};
+
+/// An error of this machine is expected to pass within this time.
+const LOCAL_RETRY_TIME: Duration = Duration::from_millis(100);
+/// Wait before the first retry after such an error; it doubles with each.
+const FIRST_RETRY_DELAY: Duration = Duration::from_millis(1);
 
 /// Size of a connection's buffers, which bounds a response's head too.
 const BUFFER_SIZE: usize = 32 << 10;
 
-/// Why no connection was opened. Only an error of the other side may count against the backend.
+/// Why no connection was opened. What this machine lacks does not count against the backend.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum ConnectError {
     /// This machine lacks a descriptor, a port or a buffer.
     #[error("local error: {0}")]
     Local(io::Error),
+    /// This machine has no route to the backend. It may have one again in a moment; without it the backend is of no use.
+    #[error("no route: {0}")]
+    NoRoute(io::Error),
     /// The backend, or the network before it, did not accept the connection.
     #[error("remote error: {0}")]
     Remote(io::Error),
@@ -36,7 +46,20 @@
 
 impl From<io::Error> for ConnectError {
     fn from(error: io::Error) -> Self {
-        if is_local_error(&error) { ConnectError::Local(error) } else { ConnectError::Remote(error) }
+        if is_local_error(&error) {
+            ConnectError::Local(error)
+        } else if is_no_route(&error) {
+            ConnectError::NoRoute(error)
+        } else {
+            ConnectError::Remote(error)
+        }
+    }
+}
+
+impl ConnectError {
+    /// Whether the next try may succeed, as nothing was sent to the backend.
+    fn may_pass(&self) -> bool {
+        matches!(self, ConnectError::Local(_) | ConnectError::NoRoute(_))
     }
 }
 
@@ -46,15 +69,29 @@
     }
 }
 
-/// Opens a connection on a socket of the budget.
+/// Opens a connection on a socket of the budget. System calls that fail here are made again for a while.
 pub(super) async fn dial(
     address: SocketAddr, permit: OwnedSemaphorePermit, metrics: Arc<Metrics>,
 ) -> Result<Connection, ConnectError> {
     let permit = Rc::new(permit);
     metrics.upstream_connected();
+    let retry_until = Instant::now() + LOCAL_RETRY_TIME;
+    let mut delay = FIRST_RETRY_DELAY;
+    loop {
+        match dial_once(address, &permit, &metrics).await {
+            Err(error) if error.may_pass() && Instant::now() + delay < retry_until => sleep(delay).await,
+            result => return result,
+        }
+        delay *= 2;
+    }
+}
+
+async fn dial_once(
+    address: SocketAddr, permit: &Rc<OwnedSemaphorePermit>, metrics: &Arc<Metrics>,
+) -> Result<Connection, ConnectError> {
     let stream = Rc::new(TcpStream::connect(address).await?);
     stream.set_nodelay(true)?;
-    let progress = Rc::new(RequestProgress::new(metrics));
+    let progress = Rc::new(RequestProgress::new(metrics.clone()));
     let socket =
         MeteredSocket { stream: stream.clone(), progress: progress.clone(), _permit: permit.clone() };
     let (sender, connection) = http1::Builder::new()
@@ -69,7 +106,7 @@
         sender,
         progress,
         stream,
-        _permit: permit,
+        _permit: permit.clone(),
         task,
         is_new: true,
         close_reason: Cell::default(),
