A lack of sockets within the proxy's own budget is not held against a backend

While all sockets of the budget were in use, backends could be ejected for connections that the proxy never began.

Cause: the wait for a socket lay inside the connect time-out (pool.rs, connect and open), and a time-out counts as a failed connection. Change: the wait has a time-out of its own, of the same length, and its end withdraws the attempt. attempt_that_gets_no_socket_is_withdrawn: ConnectFailed without the change, Withdrawn with it.

--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -119,6 +119,7 @@
                 self.pool.evict_idle(); // it may free what is lacking
                 Err(NotSent::Withdrawn)
             }
+            Ok(Err(ConnectError::NoSocket)) => Err(NotSent::Withdrawn),
             Ok(Err(ConnectError::NoRoute(_) | ConnectError::Remote(_) | ConnectError::TimedOut)) | Err(_) => {
                 Err(NotSent::NoConnection)
             }
--- a/crates/proxy/src/upstream/dial.rs
+++ b/crates/proxy/src/upstream/dial.rs
@@ -36,6 +36,9 @@
     /// This machine has no route to the backend. It may have one again in a moment; without it the backend is of no use.
     #[error("no route: {0}")]
     NoRoute(io::Error),
+    /// All sockets of the budget are in use.
+    #[error("no socket left")]
+    NoSocket,
     /// The backend, or the network before it, did not accept the connection.
     #[error("remote error: {0}")]
     Remote(io::Error),
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -129,7 +129,7 @@
     pub(super) async fn connect(&self, endpoint: &UpstreamEndpoint) -> Result<Connection, ConnectError> {
         match self.take_idle(endpoint) {
             Some(connection) => Ok(connection),
-            None => timeout(self.dial_timeout.get(), self.open(endpoint)).await?,
+            None => self.open(endpoint).await,
         }
     }
 
@@ -151,8 +151,10 @@
         if self.sockets.is_exhausted() {
             self.evict_idle();
         }
-        let permit = self.sockets.acquire().await?;
-        dial(endpoint.address, permit, self.metrics.clone()).await
+        let dial_timeout = self.dial_timeout.get();
+        let permit = timeout(dial_timeout, self.sockets.acquire()).await;
+        let permit = permit.map_err(|_| ConnectError::NoSocket)??;
+        timeout(dial_timeout, dial(endpoint.address, permit, self.metrics.clone())).await?
     }
 
     /// Takes a connection back after an exchange: keeps it idle if it is of further use, or closes it.
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -172,6 +172,22 @@
     });
 }
 
+/// Guards against a lack of sockets here that is held against a backend.
+#[test]
+fn attempt_that_gets_no_socket_is_withdrawn() {
+    run(async {
+        let pool = pool_of(1);
+        let first_backend = listen().await;
+        let second_backend = listen().await;
+        let state = pending();
+        let _first = start_attempt(&pool, &first_backend, Bytes::new(), &state);
+        let _first_stream = accept_request(&first_backend).await;
+        pool.reconfigure(&Connections { dial_timeout: 50.0, idle_close: 600_000.0 });
+        let second = start_attempt(&pool, &second_backend, Bytes::new(), &state);
+        assert_eq!(second.await.expect("no panic"), Some(Outcome::Withdrawn));
+    });
+}
+
 #[test]
 fn partly_written_request_is_not_completed_once_abandoned() {
     let cases = [(RequestState::Abandoned, false), (RequestState::Answered, true)];
