--- a/crates/proxy/src/frontend/linger.rs
+++ b/crates/proxy/src/frontend/linger.rs
@@ -9,7 +9,7 @@
 
 use hyper::StatusCode;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep_until, timeout};
 
 use super::client::{Client, Stage};
 use super::{Frontend, MAX_HEAD_BYTES};
@@ -19,6 +19,8 @@
 const MAX_LINGER_TIME: Duration = Duration::from_millis(1500);
 /// and up to this many bytes.
 const MAX_LINGER_BYTES: usize = 72 << 20;
+/// A reset would drop what the system has not sent yet of the last response, so it comes this long after the close.
+const MIN_RESET_DELAY: Duration = Duration::from_millis(50);
 
 impl Frontend {
     /// Waits for the client to close its side, within bounds.
@@ -47,7 +49,9 @@
 
 /// Returns once the client has sent anything more or closed its side; reads nothing.
 async fn input_or_end(stream: &TcpStream) {
+    let reset_at = Instant::now() + MIN_RESET_DELAY;
     while stream.peek(&mut [0]).await.is_err_and(|error| is_transient(&error)) {}
+    sleep_until(reset_at).await;
 }
 
 /// Closes the sending side and reads on until the client closes its own, or has sent too much.
