--- a/crates/proxy/src/frontend/linger.rs
+++ b/crates/proxy/src/frontend/linger.rs
@@ -47,11 +47,19 @@
     let _ = stream.try_write(response.as_bytes()); // a client that has disconnected needs none
 }
 
-/// Returns once the client has sent anything more or closed its side; reads nothing.
+/// Returns once the client has closed its side, or has sent anything more; reads nothing.
 async fn input_or_end(stream: &TcpStream) {
     let reset_at = Instant::now() + MIN_RESET_DELAY;
-    while stream.peek(&mut [0]).await.is_err_and(|error| is_transient(&error)) {}
-    sleep_until(reset_at).await;
+    let is_input = loop {
+        match stream.peek(&mut [0]).await {
+            Ok(length) => break length > 0,
+            Err(error) if is_transient(&error) => {}
+            Err(_) => break false,
+        }
+    };
+    if is_input {
+        sleep_until(reset_at).await;
+    }
 }
 
 /// Closes the sending side and reads on until the client closes its own, or has sent too much.
