--- a/crates/core/src/gossip/unheard_load.rs
+++ b/crates/core/src/gossip/unheard_load.rs
@@ -20,8 +20,8 @@
 }
 
 /// An estimate of the attempts that all other proxies have in flight while none of them is heard. They are taken to go
-/// on as they did when last heard, spread over the endpoints by capacity, less what their clients now send here. Without
-/// it each proxy of a fleet whose gossip is lost would take the capacity of all endpoints for idle.
+/// on as they did when last heard, spread over the endpoints by capacity, less what their clients now send here.
+/// Without it each proxy of a fleet whose gossip is lost would take the capacity of all endpoints for idle.
 #[derive(Default)]
 pub(crate) struct UnheardLoad {
     /// Mean of the attempts that they had in flight while some of them were heard.
