Connects that fail here are made again quickly, as the time counts as the backend's

With waits that double from 1 ms, seven failures in a row end the retries after 63 ms, and the core takes an attempt that is out for long for a sign of its backend. That is the likely cause, read and not traced.

Change: 16 retries each 1 ms, then each 8 ms, up to 100 ms.

--- a/crates/proxy/src/upstream/dial.rs
+++ b/crates/proxy/src/upstream/dial.rs
@@ -21,8 +21,12 @@
 
 /// An error of this machine is expected to pass within this time.
 const LOCAL_RETRY_TIME: Duration = Duration::from_millis(100);
-/// Wait before the first retry after such an error; it doubles with each.
-const FIRST_RETRY_DELAY: Duration = Duration::from_millis(1);
+/// Wait before each of the first retries after such an error. They are quick, as the time counts as the backend's.
+const QUICK_RETRY_DELAY: Duration = Duration::from_millis(1);
+/// How many retries are quick.
+const QUICK_RETRIES: u32 = 16;
+/// Wait before each of the later ones.
+const RETRY_DELAY: Duration = Duration::from_millis(8);
 
 /// Size of a connection's buffers, which bounds a response's head too.
 const BUFFER_SIZE: usize = 32 << 10;
@@ -79,13 +83,14 @@
     let permit = Rc::new(permit);
     metrics.upstream_connected();
     let retry_until = Instant::now() + LOCAL_RETRY_TIME;
-    let mut delay = FIRST_RETRY_DELAY;
+    let mut retries = 0;
     loop {
+        let delay = if retries < QUICK_RETRIES { QUICK_RETRY_DELAY } else { RETRY_DELAY };
         match dial_once(address, &permit, &metrics).await {
             Err(error) if error.may_pass() && Instant::now() + delay < retry_until => sleep(delay).await,
             result => return result,
         }
-        delay *= 2;
+        retries += 1;
     }
 }
 
