A slowly written request waits no longer than others of its class and tenant announce

Cause: the core took X-Timeout at its word (Balancer::assess, core/balancer/arrivals.rs).

Ruled out: time from the first byte (54 of 56 waited beyond it, 36 leavers had time left by it), connection age, restarts, retries, length of writing.

The sockets tell it whether a request was written slowly, at once, or is a retry. Nothing changes for requests that are written at once.

--- a/crates/core/src/balancer/arrivals.rs
+++ b/crates/core/src/balancer/arrivals.rs
@@ -4,6 +4,8 @@
 use super::answers::ANSWER_MARGIN;
 use crate::actions::{Action, RejectionReason};
 use crate::endpoints::EndpointIndex;
+use crate::estimators::ClientGroup;
+use crate::events::TimeoutEvidence;
 use crate::hash::rendezvous_score;
 use crate::ids::{AffinityKey, ClassId, Millis, RequestId, TenantId};
 use crate::requests::{Request, RequestSpec};
@@ -14,27 +16,50 @@
     pub class: ClassId,
     pub tenant: Option<TenantId>,
     pub key: Option<AffinityKey>,
-    /// How long the client waits.
-    pub timeout: Millis,
+    pub timeout: AnnouncedTimeout,
     pub expected_cost: Option<Millis>,
 }
 
+/// How long a client announced to wait, and what that says.
+pub(super) struct AnnouncedTimeout {
+    pub duration: Millis,
+    pub evidence: TimeoutEvidence,
+}
+
 impl Balancer {
     pub(super) fn handle_arrival(&mut self, now: Millis, new: NewRequest, out: &mut Vec<Action>) {
         self.arrivals.record();
         self.retry_budget.refill();
         self.gossip.refill_budget(&self.settings);
-        let spec = self.assess(now, &new);
+        let timeout = self.credible_timeout(now, &new);
+        let spec = self.assess(now, &new, timeout);
         self.requests.insert(new.id, Request::new(spec));
-        if new.timeout < ANSWER_MARGIN {
+        if timeout < ANSWER_MARGIN {
             // The next tick could come too late for it.
             return self.answer(new.id, RejectionReason::TooLate, out);
         }
         self.enqueue(new.id, false);
     }
 
-    /// What is known of a request from its arrival on.
-    fn assess(&mut self, now: Millis, new: &NewRequest) -> RequestSpec {
+    /// How long the client waits, as far as its own announcement and those of others like it tell.
+    fn credible_timeout(&mut self, now: Millis, new: &NewRequest) -> Millis {
+        let group = ClientGroup { class: new.class, tenant: new.tenant };
+        let AnnouncedTimeout { duration, evidence } = new.timeout;
+        match evidence {
+            TimeoutEvidence::Typical => {
+                self.client_timeouts.record(group, duration, now);
+                duration
+            }
+            TimeoutEvidence::Doubtful => self
+                .client_timeouts
+                .agreed_maximum(group, now)
+                .map_or(duration, |agreed| agreed.min(duration)),
+            TimeoutEvidence::Individual => duration,
+        }
+    }
+
+    /// What is known of a request from its arrival on, if its client waits for `timeout`.
+    fn assess(&mut self, now: Millis, new: &NewRequest, timeout: Millis) -> RequestSpec {
         let class = new.class.0;
         let over_quota = new.tenant.is_some_and(|tenant| !self.quotas.take(tenant));
         let affinity_endpoint = new.key.and_then(|key| self.affinity_endpoint(key, now));
@@ -43,8 +68,9 @@
             class,
             relative_cost: cost.relative,
             over_quota,
-            objective_at: now + cost.latency_objective.min(new.timeout),
-            deadline: now + new.timeout,
+            objective_at: now + cost.latency_objective.min(timeout),
+            deadline: now + timeout,
+            is_shortened: timeout < new.timeout.duration,
             key: new.key.map_or(0, |key| key.0),
             affinity_endpoint,
             max_attempts: self.settings.limits.max_attempts as usize,
--- a/crates/core/src/balancer/attempts.rs
+++ b/crates/core/src/balancer/attempts.rs
@@ -56,6 +56,7 @@
         let request = &self.requests[id];
         let class = &self.settings.classes[request.spec.class];
         let start_by = request.repeat_window(class).map(|window| window.until);
+        let timeout = request.spec.is_shortened.then_some(request.spec.deadline - now);
         let takes_slot = !request.uploading;
         let unloaded = self.is_known_unloaded(endpoint);
         self.dequeue(id);
@@ -68,7 +69,7 @@
         }
         entry.load.own += u32::from(takes_slot);
         entry.slow_start.spend();
-        out.push(Action::Send { request: id, endpoint: entry.listed.id, timeout: None, start_by });
+        out.push(Action::Send { request: id, endpoint: entry.listed.id, timeout, start_by });
         self.update_eligibility(endpoint, now);
     }
 
--- a/crates/core/src/balancer/mod.rs
+++ b/crates/core/src/balancer/mod.rs
@@ -20,7 +20,7 @@
 use crate::decision::DecisionCounts;
 use crate::discovery::{Subscription, list_valid_until};
 use crate::endpoints::{EndpointTable, SpeedTiers};
-use crate::estimators::{ArrivalRate, LatencyModel, RequestCosts};
+use crate::estimators::{ArrivalRate, ClientTimeouts, LatencyModel, RequestCosts};
 use crate::events::Event;
 use crate::gossip::{GossipState, UnheardLoad};
 use crate::ids::{Millis, RequestId};
@@ -31,7 +31,7 @@
 use crate::requests::{AbandonedAttempts, Priorities, RequestQueues, RequestTable};
 use crate::schedule::{Schedule, TICK};
 use crate::settings::{Idempotency, RequestClass, Settings};
-use arrivals::NewRequest;
+use arrivals::{AnnouncedTimeout, NewRequest};
 use attempts::AttemptEnd;
 
 /// The token of the periodic timer; a request's own timer has the request's number plus one.
@@ -52,6 +52,7 @@
     latency: LatencyModel,
     arrivals: ArrivalRate,
     request_costs: RequestCosts,
+    client_timeouts: ClientTimeouts,
     quotas: TenantQuotas,
     retry_budget: RetryBudget,
     outliers: OutlierDetector,
@@ -80,6 +81,7 @@
             latency: LatencyModel::new(&settings),
             arrivals: ArrivalRate::default(),
             request_costs: RequestCosts::new(classes),
+            client_timeouts: ClientTimeouts::default(),
             quotas: TenantQuotas::new(settings.tenants.len()),
             retry_budget: RetryBudget::new(),
             outliers: OutlierDetector::new(classes),
@@ -102,7 +104,8 @@
         match event {
             Event::Discovery(event) => self.handle_discovery(now, event, out),
             Event::List { scope, entries } => self.handle_list(now, scope, entries),
-            Event::Request { id, class, tenant, key, timeout, expected_cost } => {
+            Event::Request { id, class, tenant, key, timeout, timeout_evidence, expected_cost } => {
+                let timeout = AnnouncedTimeout { duration: timeout, evidence: timeout_evidence };
                 let request = NewRequest { id, class, tenant, key, timeout, expected_cost };
                 self.handle_arrival(now, request, out);
             }
--- a/crates/core/src/balancer/operators.rs
+++ b/crates/core/src/balancer/operators.rs
@@ -29,6 +29,7 @@
         let classes = &settings.classes;
         self.latency.reconfigure(classes, &inherits_from);
         self.request_costs.reconfigure(&inherits_from);
+        self.client_timeouts.clear();
         self.outliers.reconfigure(&inherits_from);
         for entry in self.endpoints.iter_mut() {
             let refilled_at = entry.slow_start.refilled_at();
--- a/crates/core/src/estimators/mod.rs
+++ b/crates/core/src/estimators/mod.rs
@@ -2,10 +2,12 @@
 
 mod affinity;
 mod arrivals;
+mod client_timeouts;
 mod latency;
 mod request_cost;
 
 pub(crate) use arrivals::{AVERAGING_TIME, ArrivalRate};
+pub(crate) use client_timeouts::{ClientGroup, ClientTimeouts};
 pub(crate) use latency::{HANG_FACTOR, LatencyModel, LatencySample};
 pub(crate) use request_cost::RequestCosts;
 
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -68,6 +68,18 @@
     NotReplayable,
 }
 
+/// What the timeout that a client announced says of how long this client and others like it wait.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TimeoutEvidence {
+    /// A first try that was written at once: others of its class and tenant wait as long.
+    #[default]
+    Typical,
+    /// The request was written slowly: its client may wait less than it announced.
+    Doubtful,
+    /// A retry, which has what is left, or a request whose body is still received: it holds for this request alone.
+    Individual,
+}
+
 /// What a proxy sees.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -90,8 +102,10 @@
         tenant: Option<TenantId>,
         /// What it is about.
         key: Option<AffinityKey>,
-        /// How long the client waits.
+        /// How long the client announced to wait.
         timeout: Millis,
+        /// What that says of its clients.
+        timeout_evidence: TimeoutEvidence,
         /// Its expected processing time on a standard core.
         expected_cost: Option<Millis>,
     },
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -12,11 +12,11 @@
 pub struct EndpointId(pub u64);
 
 /// An index into [`Settings::classes`](crate::Settings::classes).
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct ClassId(pub usize);
 
 /// An index into [`Settings::tenants`](crate::Settings::tenants).
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct TenantId(pub usize);
 
 /// A zone of the network, as numbered by the caller.
--- a/crates/core/src/requests/request.rs
+++ b/crates/core/src/requests/request.rs
@@ -46,6 +46,8 @@
     pub objective_at: Millis,
     /// When the client gives up.
     pub deadline: Millis,
+    /// Whether that is earlier than the client announced.
+    pub is_shortened: bool,
     pub key: u64,
     /// The endpoint that its key has its affinity with.
     pub affinity_endpoint: Option<EndpointIndex>,
--- a/crates/core/tests/affinity.rs
+++ b/crates/core/tests/affinity.rs
@@ -17,6 +17,7 @@
             tenant: None,
             key: Some(AffinityKey(key)),
             timeout: 2000.0,
+            timeout_evidence: TimeoutEvidence::Typical,
             expected_cost: None,
         };
         let mut affinity_endpoints = vec![];
@@ -46,6 +47,7 @@
         tenant: None,
         key: Some(AffinityKey(id)),
         timeout: 2000.0,
+        timeout_evidence: TimeoutEvidence::Typical,
         expected_cost: None,
     };
     let harnesses = (0..proxies).map(|proxy_index| {
@@ -81,7 +83,15 @@
             (1..5).for_each(|from| drop(harness.handle(Event::Gossip { from, bytes: full.clone() })));
             let (id, key) = (RequestId(100 + round), Some(AffinityKey(round)));
             let (class, tenant, expected_cost) = (ClassId(0), None, None);
-            harness.handle(Event::Request { id, class, tenant, key, timeout: 2000.0, expected_cost });
+            harness.handle(Event::Request {
+                id,
+                class,
+                tenant,
+                key,
+                timeout: 2000.0,
+                timeout_evidence: TimeoutEvidence::Typical,
+                expected_cost,
+            });
             harness.advance(100.0);
         }
         (1..5).for_each(|from| {
@@ -109,7 +119,15 @@
         harness.advance(1000.0); // no proxy is heard any more
         let (id, class, tenant, expected_cost) = (RequestId(100), ClassId(0), None, None);
         let key = Some(AffinityKey(1));
-        let request = Event::Request { id, class, tenant, key, timeout: 2000.0, expected_cost };
+        let request = Event::Request {
+            id,
+            class,
+            tenant,
+            key,
+            timeout: 2000.0,
+            timeout_evidence: TimeoutEvidence::Typical,
+            expected_cost,
+        };
         sent += sends(&harness.handle(request)).len() + sends(&harness.advance(200.0)).len();
     }
     assert!(sent <= 4, "{sent} of 40 proxies' requests for one endpoint that held eight");
@@ -126,6 +144,7 @@
         tenant: None,
         key: Some(AffinityKey(100)),
         timeout: 2000.0,
+        timeout_evidence: TimeoutEvidence::Typical,
         expected_cost: None,
     };
     let harness = &mut harnesses[7];
@@ -152,8 +171,15 @@
             });
             let (key, class, id) = (Some(AffinityKey(1)), ClassId(step as usize % 2), RequestId(100 + step));
             let (tenant, expected_cost) = (None, None);
-            let mut done =
-                harness.handle(Event::Request { id, class, tenant, key, timeout: 2000.0, expected_cost });
+            let mut done = harness.handle(Event::Request {
+                id,
+                class,
+                tenant,
+                key,
+                timeout: 2000.0,
+                timeout_evidence: TimeoutEvidence::Typical,
+                expected_cost,
+            });
             done.extend(harness.advance(50.0));
             for (id, _) in sends(&done) {
                 if id % 2 == 0 {
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -72,6 +72,7 @@
         tenant: None,
         key: None,
         timeout,
+        timeout_evidence: TimeoutEvidence::Typical,
         expected_cost: None,
     }
 }
--- a/crates/core/tests/properties.rs
+++ b/crates/core/tests/properties.rs
@@ -203,6 +203,7 @@
                     tenant,
                     key,
                     timeout,
+                    timeout_evidence: TimeoutEvidence::Typical,
                     expected_cost: None,
                 });
             }
--- a/crates/proxy/src/frontend/forward.rs
+++ b/crates/proxy/src/frontend/forward.rs
@@ -5,7 +5,7 @@
 
 use hyper::Response;
 use hyper::http::request;
-use leadrelay_core::RequestId;
+use leadrelay_core::{RequestId, TimeoutEvidence};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -29,6 +29,8 @@
 
 /// A body that was received within this time arrived with its head.
 const WITH_HEAD: Duration = Duration::from_millis(3);
+/// A request is written slowly that takes this long from its first byte to its last.
+const SLOW_WRITE: Duration = Duration::from_millis(100);
 
 /// A request that can be submitted to the driver.
 struct ReadyRequest {
@@ -36,12 +38,31 @@
     meta: RequestMeta,
     open_id: Option<OpenId>,
     message: UpstreamRequest,
+    /// When its first byte arrived.
+    started_at: Instant,
     /// When its last byte arrived, as far as its body has been received.
     arrived_at: Instant,
     /// Whether its body is still being received.
     streamed: bool,
 }
 
+impl ReadyRequest {
+    /// What the timeout that its client announced says of its clients. The time in which a streamed body is written is
+    /// not known yet.
+    fn timeout_evidence(&self) -> TimeoutEvidence {
+        let write_time = self.arrived_at.saturating_duration_since(self.started_at);
+        if self.streamed {
+            TimeoutEvidence::Individual
+        } else if write_time >= SLOW_WRITE {
+            TimeoutEvidence::Doubtful
+        } else if self.meta.is_retry {
+            TimeoutEvidence::Individual
+        } else {
+            TimeoutEvidence::Typical
+        }
+    }
+}
+
 /// A request that has been submitted to the driver.
 struct SubmittedRequest {
     answer: oneshot::Receiver<Answer>,
@@ -53,6 +74,7 @@
     pub(super) async fn forward(
         self: &Rc<Self>, received: ReceivedHead, client: &Rc<Client>,
     ) -> Result<Response<MessageBody>, ClientDisconnected> {
+        let started_at = received.started_at;
         let head_arrived_at = received.arrived_at;
         let AcceptedHead { meta, open_id, head, body } = match self.admit(received) {
             Ok(accepted) => accepted,
@@ -68,7 +90,7 @@
         let arrived_at = arrival_time(head_arrived_at, receive_started_at);
         let message = upstream_request(head, body, &meta, client);
         let streamed = upload.is_some();
-        let ready = ReadyRequest { id, meta, open_id, message, arrived_at, streamed };
+        let ready = ReadyRequest { id, meta, open_id, message, started_at, arrived_at, streamed };
         self.respond_with_answer(ready, upload, client).await
     }
 
@@ -101,7 +123,8 @@
 
     /// Counts a request and submits it to the driver, unless its client has disconnected.
     fn submit(&self, ready: ReadyRequest, client: &Client) -> Result<SubmittedRequest, ClientDisconnected> {
-        let ReadyRequest { id, meta, open_id, message, arrived_at, streamed } = ready;
+        let timeout_evidence = ready.timeout_evidence();
+        let ReadyRequest { id, meta, open_id, message, arrived_at, streamed, .. } = ready;
         let mut ticket = self.count_request(&meta, arrived_at);
         let access_record = self.access_record(&meta, arrived_at);
         ticket.set_access_record(access_record.clone());
@@ -117,6 +140,7 @@
             key: meta.affinity_key,
             expected_cost: meta.expected_cost,
             deadline: arrived_at + meta.timeout,
+            timeout_evidence,
             upload_timeout: streamed.then_some(meta.timeout),
             message,
             answer: answer_sender,
--- a/crates/proxy/src/frontend/received.rs
+++ b/crates/proxy/src/frontend/received.rs
@@ -11,6 +11,8 @@
 /// A request of which the head has been read.
 pub(super) struct ReceivedHead {
     pub(super) request: Request<Incoming>,
+    /// When its first byte was read.
+    pub(super) started_at: Instant,
     pub(super) arrived_at: Instant,
     /// The head's raw bytes, if they could be told apart from the previous request's.
     pub(super) raw_head: Option<Vec<u8>>,
@@ -26,7 +28,9 @@
         }
         let raw_head = (!pipelined).then(|| client.raw_head.take());
         let arrived_at = arrival_time(client, pipelined);
-        ReceivedHead { request, arrived_at, raw_head }
+        let is_timed = client.stage.get() == Stage::ReadingHead;
+        let started_at = if is_timed { client.stage_since.get() } else { arrived_at };
+        ReceivedHead { request, started_at, arrived_at, raw_head }
     }
 }
 
