--- a/crates/soak/src/clients/behavior.rs
+++ b/crates/soak/src/clients/behavior.rs
@@ -13,6 +13,8 @@
     pub read_slowly_percent: u32,
     /// They stop in the middle of the request and keep the connection.
     pub stall_percent: u32,
+    /// They write the request in pieces, with pauses.
+    pub write_slowly_percent: u32,
 }
 
 impl ClientBehavior {
@@ -23,6 +25,7 @@
         upload_percent: 2,
         read_slowly_percent: 1,
         stall_percent: 1,
+        write_slowly_percent: 4,
     };
 
     /// Chooses what a client does with its next request.
@@ -32,6 +35,7 @@
             (self.pipeline_percent, RequestBehavior::Pipeline),
             (self.read_slowly_percent, RequestBehavior::ReadSlowly),
             (self.stall_percent, RequestBehavior::Stall),
+            (self.write_slowly_percent, RequestBehavior::WriteSlowly),
         ];
         let mut sample = fastrand::u32(0..100);
         for (percent, behavior) in choices {
@@ -57,4 +61,6 @@
     ReadSlowly,
     /// Sends only a part of it.
     Stall,
+    /// Sends it in pieces, with pauses.
+    WriteSlowly,
 }
--- a/crates/soak/src/clients/mod.rs
+++ b/crates/soak/src/clients/mod.rs
@@ -27,6 +27,9 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a slow reader waits between head and body.
 const SLOW_READ_PAUSE: Duration = Duration::from_millis(300);
+/// Pieces in which a slow writer sends a request, and its pause behind each but the last.
+const SLOW_WRITE_PIECES: usize = 5;
+const SLOW_WRITE_PAUSE: Duration = Duration::from_millis(120);
 /// How long a client that stalls waits for the proxy to close.
 const STALL_TIMEOUT: Duration = Duration::from_secs(4);
 /// A client cancels before this time, in milliseconds.
@@ -98,14 +101,20 @@
                 None
             }
             RequestBehavior::Pipeline => self.pipeline(connection, &request).await,
-            RequestBehavior::Wait | RequestBehavior::ReadSlowly | RequestBehavior::Stall => {
-                self.receive(connection, &request).await
-            }
+            RequestBehavior::Wait
+            | RequestBehavior::ReadSlowly
+            | RequestBehavior::Stall
+            | RequestBehavior::WriteSlowly => self.receive(connection, &request).await,
         }
     }
 
     async fn send(&self, connection: &mut Connection, request: &PlannedRequest) -> io::Result<()> {
-        connection.send(&request.to_bytes()).await?;
+        let bytes = request.to_bytes();
+        let mut rest = bytes.as_slice();
+        if request.behavior == RequestBehavior::WriteSlowly {
+            rest = send_slowly(connection, rest).await?;
+        }
+        connection.send(rest).await?;
         self.recorder.update_request(&request.id, |request| request.sent_at = Some(Instant::now()));
         Ok(())
     }
@@ -186,3 +195,16 @@
         self.recorder.update_request(&request.id, |request| request.cancelled_at = Some(Instant::now()));
     }
 }
+
+/// Sends all but the last piece of a request, with a pause behind each; returns that piece.
+async fn send_slowly<'a>(connection: &mut Connection, bytes: &'a [u8]) -> io::Result<&'a [u8]> {
+    let mut rest = bytes;
+    let piece_length = bytes.len().div_ceil(SLOW_WRITE_PIECES);
+    while rest.len() > piece_length {
+        let (piece, behind) = rest.split_at(piece_length);
+        connection.send_part(piece).await?;
+        sleep(SLOW_WRITE_PAUSE).await;
+        rest = behind;
+    }
+    Ok(rest)
+}
