What others announce bounds a slow writer only where three agree and it can be repeated

Callers would have seen: 502 for a request that must not run twice and was running (200 before); 503 beside an idle backend where three others announced 0 s; less time than announced for a request that was written at once while the process was held up for 0.13 s, behind a blank line, or beside clients whose requests had waited to be read; and a TOML class of 30 s cut to 0.7 s for a client that announced nothing.

Change: Event::Request carries what was announced beside what is left. All of the latest three announcements within 5 s have to agree; only idempotent classes are compared, only where callers mark their retries, and never in TOML; an announcement under the core's answer margin says nothing; a head starts with its first byte that is no line break, and is slow from 0.2 s on.

--- /dev/null
+++ b/crates/cli/tests/slow_requests_unlike_others.rs
@@ -0,0 +1,125 @@
+//! What must not shorten the time of a request, whatever other clients announce.
+mod sockets;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use sockets::slow_writers::*;
+use sockets::*;
+
+/// The process may be held up for so long.
+const PROCESS_PAUSE: Duration = Duration::from_millis(130);
+
+#[test]
+fn head_written_at_once_waits_for_its_timeout_whatever_others_announce() {
+    let site = Site::new();
+    let _held = site.keep_busy();
+    site.announce(&bodyless(SHORT_TIMEOUT));
+    let mut client = site.proxy.client();
+    client.send(&bodyless(LONG_TIMEOUT));
+    assert_near_end(rejected_after(&mut client, Instant::now()), LONG_TIMEOUT);
+}
+
+#[test]
+fn slow_head_waits_for_its_timeout_if_only_retries_announce_less() {
+    let site = Site::new();
+    let _held = site.keep_busy();
+    site.announce(&marked_as_retry(&bodyless(SHORT_TIMEOUT)));
+    let mut client = site.proxy.client();
+    let written_at = write_slowly(&mut client, &bodyless(LONG_TIMEOUT));
+    assert_near_end(rejected_after(&mut client, written_at), LONG_TIMEOUT);
+}
+
+#[test]
+fn slow_body_with_key_waits_for_its_timeout_whatever_others_announce() {
+    let site = Site::new();
+    let _held = site.keep_busy();
+    site.announce(&with_key(SHORT_TIMEOUT));
+    let mut client = site.proxy.client();
+    let written_at = write_slowly(&mut client, &with_key(LONG_TIMEOUT));
+    assert_near_end(rejected_after(&mut client, written_at), LONG_TIMEOUT);
+}
+
+#[test]
+fn slow_request_that_must_not_run_twice_keeps_its_attempt_whatever_others_announce() {
+    let site = Site::new();
+    site.announce(&unsafe_request(SHORT_TIMEOUT));
+    let mut client = site.proxy.client();
+    write_slowly(&mut client, &unsafe_request(LONG_TIMEOUT).replace("r-slow", "r-held"));
+    wait_for("the attempt", || site.seen("r-held").is_some());
+    thread::sleep(SHORT_TIMEOUT + PAUSE);
+    site.release.open();
+    assert_eq!(status(client.response()), 200, "it may have run, and its client waits for {LONG_TIMEOUT:?}");
+}
+
+#[test]
+fn time_that_others_waited_before_they_were_read_is_not_taken_off_their_announcements() {
+    let site = Site::new();
+    let mut held = site.proxy.client();
+    let behind = |number| bodyless(LONG_TIMEOUT).replace("r-slow", &format!("r-behind-{number}"));
+    held.send(&(submit("r-held", "60", "x") + &(0..ANNOUNCEMENTS).map(behind).collect::<String>()));
+    wait_for("the first request", || site.seen("r-held").is_some());
+    thread::sleep(LONG_TIMEOUT - PAUSE);
+    site.release.open();
+    for _ in 0..=ANNOUNCEMENTS {
+        assert_eq!(status(held.response()), 200);
+    }
+    let mut client = site.proxy.client();
+    write_slowly(&mut client, &bodyless(LONG_TIMEOUT));
+    assert_eq!(status(client.response()), 200);
+    site.assert_kept_its_timeout("r-slow");
+}
+
+#[test]
+fn others_that_do_not_wait_at_all_do_not_shorten_the_time_of_a_slow_head() {
+    let site = Site::new();
+    site.announce(&bodyless(Duration::ZERO));
+    let mut client = site.proxy.client();
+    write_slowly(&mut client, &bodyless(LONG_TIMEOUT));
+    assert_eq!(status(client.response()), 200);
+    site.assert_kept_its_timeout("r-slow");
+}
+
+#[test]
+fn request_written_at_once_keeps_its_timeout_if_the_process_is_held_up() {
+    let site = Site::new();
+    site.announce(&bodyless(SHORT_TIMEOUT));
+    let mut client = site.proxy.client();
+    let request = bodyless(LONG_TIMEOUT);
+    let (first, last) = request.split_at(request.len() - 20);
+    let started_at = Instant::now();
+    client.send(first);
+    thread::sleep(Duration::from_millis(20)); // the proxy reads it
+    site.proxy.pause();
+    client.send(last);
+    let write_time = started_at.elapsed();
+    thread::sleep(PROCESS_PAUSE);
+    site.proxy.resume();
+    assert!(write_time < PROCESS_PAUSE / 2, "the client itself was held up: {write_time:?}");
+    assert_eq!(status(client.response()), 200);
+    site.assert_kept_its_timeout("r-slow");
+}
+
+#[test]
+fn blank_line_long_before_a_request_does_not_make_it_slow() {
+    let site = Site::new();
+    site.announce(&bodyless(SHORT_TIMEOUT));
+    let mut client = site.proxy.client();
+    assert_eq!(status(client.request(&bodyless(SHORT_TIMEOUT).replace("r-slow", "r-first"))), 200);
+    client.send("\r\n"); // RFC 9112, 2.2: to be ignored
+    thread::sleep(PAUSE);
+    client.send(&bodyless(LONG_TIMEOUT));
+    assert_eq!(status(client.response()), 200);
+    site.assert_kept_its_timeout("r-slow");
+}
+
+#[test]
+fn request_written_at_once_on_a_connection_open_for_long_keeps_its_timeout() {
+    let site = Site::new();
+    site.announce(&bodyless(SHORT_TIMEOUT));
+    let mut client = site.proxy.client();
+    assert_eq!(status(client.request(&bodyless(SHORT_TIMEOUT).replace("r-slow", "r-first"))), 200);
+    thread::sleep(PAUSE);
+    assert_eq!(status(client.request(&bodyless(LONG_TIMEOUT))), 200);
+    site.assert_kept_its_timeout("r-slow");
+}
--- a/crates/cli/tests/sockets/mod.rs
+++ b/crates/cli/tests/sockets/mod.rs
@@ -12,6 +12,7 @@
 mod proxy;
 mod scripted_discovery;
 mod setup;
+pub mod slow_writers;
 mod system;
 
 use std::thread;
--- a/crates/cli/tests/sockets/setup.rs
+++ b/crates/cli/tests/sockets/setup.rs
@@ -73,7 +73,7 @@
         r#"{{"name":"n0","listen":"127.0.0.1:0",{admin}"discovery":"{discovery}","seed":"8c1f30d27a5be964",
         "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},{peers}"known":{},
         "settings":{{"zone":"a","zones":["a"],"flavors":["k"],"nInstances":{},"myNumber":0,"discovery":"pushed",
-        "weightSource":"nominal","accounts":[{{"name":"acme","allowancePerS":1000}}],
+        "weightSource":"nominal","accounts":[{{"name":"acme","allowancePerS":1000}}],"callers":{{"marksRetry":true}},
         "classes":[{{"name":"page","effect":"idempotent","promise":{latency_objective},"deadline":{deadline},"worth":1}},
         {{"name":"submit","effect":"at_most_once","promise":{latency_objective},"deadline":{deadline},"worth":1}},
         {{"name":"booking","effect":"deduplicated","dedupScope":"cell","window":2500,"promise":{latency_objective},"deadline":{deadline},"worth":1}}],
--- a/crates/core/src/balancer/arrivals.rs
+++ b/crates/core/src/balancer/arrivals.rs
@@ -1,11 +1,11 @@
 //! A request arrives.
 
-use super::Balancer;
 use super::answers::ANSWER_MARGIN;
+use super::{Balancer, is_idempotent};
 use crate::actions::{Action, RejectionReason};
 use crate::endpoints::EndpointIndex;
 use crate::estimators::ClientGroup;
-use crate::events::TimeoutEvidence;
+use crate::events::Announcement;
 use crate::hash::rendezvous_score;
 use crate::ids::{AffinityKey, ClassId, Millis, RequestId, TenantId};
 use crate::requests::{Request, RequestSpec};
@@ -16,16 +16,12 @@
     pub class: ClassId,
     pub tenant: Option<TenantId>,
     pub key: Option<AffinityKey>,
-    pub timeout: AnnouncedTimeout,
+    /// How long the client still waits, by its own word.
+    pub timeout: Millis,
+    pub announcement: Announcement,
     pub expected_cost: Option<Millis>,
 }
 
-/// How long a client announced to wait, and what that says.
-pub(super) struct AnnouncedTimeout {
-    pub duration: Millis,
-    pub evidence: TimeoutEvidence,
-}
-
 impl Balancer {
     pub(super) fn handle_arrival(&mut self, now: Millis, new: NewRequest, out: &mut Vec<Action>) {
         self.arrivals.record();
@@ -41,23 +37,33 @@
         self.enqueue(new.id, false);
     }
 
-    /// How long the client waits, as far as its own announcement and those of others like it tell.
+    /// How long the client still waits, by its own word and by what others like it announced.
     fn credible_timeout(&mut self, now: Millis, new: &NewRequest) -> Millis {
+        if !self.compares_announcements(new.class) {
+            return new.timeout;
+        }
         let group = ClientGroup { class: new.class, tenant: new.tenant };
-        let AnnouncedTimeout { duration, evidence } = new.timeout;
-        match evidence {
-            TimeoutEvidence::Typical => {
-                self.client_timeouts.record(group, duration, now);
-                duration
+        match new.announcement {
+            // Nobody is served by a shorter timeout, so that it says nothing of those who are.
+            Announcement::Typical(announced) if announced >= ANSWER_MARGIN => {
+                self.client_timeouts.record(group, announced, now);
+                new.timeout
             }
-            TimeoutEvidence::Doubtful => self
-                .client_timeouts
-                .agreed_maximum(group, now)
-                .map_or(duration, |agreed| agreed.min(duration)),
-            TimeoutEvidence::Individual => duration,
+            Announcement::Doubtful(announced) => {
+                let agreed = self.client_timeouts.agreed_maximum(group, now);
+                let excess = agreed.map_or(0.0, |agreed| (announced - agreed).max(0.0));
+                new.timeout - excess
+            }
+            Announcement::Typical(_) | Announcement::Individual => new.timeout,
         }
     }
 
+    /// Whether clients of a class can be told from each other by what they announce: retries have to be marked. Only
+    /// requests that can be repeated are given up early.
+    fn compares_announcements(&self, class: ClassId) -> bool {
+        self.settings.clients_mark_retries && is_idempotent(&self.settings.classes[class.0])
+    }
+
     /// What is known of a request from its arrival on, if its client waits for `timeout`.
     fn assess(&mut self, now: Millis, new: &NewRequest, timeout: Millis) -> RequestSpec {
         let class = new.class.0;
@@ -70,7 +76,7 @@
             over_quota,
             objective_at: now + cost.latency_objective.min(timeout),
             deadline: now + timeout,
-            is_shortened: timeout < new.timeout.duration,
+            is_shortened: timeout < new.timeout,
             key: new.key.map_or(0, |key| key.0),
             affinity_endpoint,
             max_attempts: self.settings.limits.max_attempts as usize,
--- a/crates/core/src/balancer/mod.rs
+++ b/crates/core/src/balancer/mod.rs
@@ -31,7 +31,7 @@
 use crate::requests::{AbandonedAttempts, Priorities, RequestQueues, RequestTable};
 use crate::schedule::{Schedule, TICK};
 use crate::settings::{Idempotency, RequestClass, Settings};
-use arrivals::{AnnouncedTimeout, NewRequest};
+use arrivals::NewRequest;
 use attempts::AttemptEnd;
 
 /// The token of the periodic timer; a request's own timer has the request's number plus one.
@@ -104,9 +104,8 @@
         match event {
             Event::Discovery(event) => self.handle_discovery(now, event, out),
             Event::List { scope, entries } => self.handle_list(now, scope, entries),
-            Event::Request { id, class, tenant, key, timeout, timeout_evidence, expected_cost } => {
-                let timeout = AnnouncedTimeout { duration: timeout, evidence: timeout_evidence };
-                let request = NewRequest { id, class, tenant, key, timeout, expected_cost };
+            Event::Request { id, class, tenant, key, timeout, announcement, expected_cost } => {
+                let request = NewRequest { id, class, tenant, key, timeout, announcement, expected_cost };
                 self.handle_arrival(now, request, out);
             }
             Event::Started { request, .. } => self.handle_response_start(request),
--- a/crates/core/src/estimators/client_timeouts.rs
+++ b/crates/core/src/estimators/client_timeouts.rs
@@ -1,13 +1,13 @@
 //! The timeouts that clients announced lately.
 //!
 //! A request that was written slowly may announce a longer timeout than its client keeps. What the clients of its class
-//! and tenant announce with requests that they write at once bounds it.
+//! and tenant announce with first tries that they write at once bounds it, if they agree.
 
 use rustc_hash::FxHashMap;
 
 use crate::ids::{ClassId, Millis, TenantId};
 
-/// The latest announcements of a group that count.
+/// The latest announcements of a group, which have to agree.
 const SAMPLES: usize = 3;
 /// An announcement counts for this long.
 const MAX_AGE: Millis = 5000.0;
@@ -49,11 +49,16 @@
         announcements[0] = Some(Announcement { timeout, at: now });
     }
 
-    /// The longest timeout among the latest announcements of a group: its clients agree that they wait no longer.
+    /// The longest of the latest announcements of a group, by which its clients agree that they wait no longer; `None`
+    /// if too few have announced anything lately.
     pub fn agreed_maximum(&self, group: ClientGroup, now: Millis) -> Option<Millis> {
         let announcements = self.current.get(&group).or_else(|| self.previous.get(&group))?;
-        let recent = announcements.iter().flatten().filter(|announcement| now - announcement.at <= MAX_AGE);
-        recent.map(|announcement| announcement.timeout).reduce(f64::max)
+        let recent = |announcement: &Announcement| now - announcement.at <= MAX_AGE;
+        announcements
+            .iter()
+            .map(|announcement| announcement.filter(recent).map(|announcement| announcement.timeout))
+            .reduce(|left, right| Some(left?.max(right?)))
+            .flatten()
     }
 
     /// Forgets all announcements, as groups may have other numbers from now on.
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -68,15 +68,15 @@
     NotReplayable,
 }
 
-/// What the timeout that a client announced says of how long this client and others like it wait.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum TimeoutEvidence {
-    /// A first try that was written at once: others of its class and tenant wait as long.
+/// What a client announced of its timeout, and what that says of clients like it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Announcement {
+    /// It announced this timeout with a first try that it wrote at once: others of its class and tenant wait as long.
+    Typical(Millis),
+    /// It announced this timeout with a first try that it wrote slowly: it may wait less.
+    Doubtful(Millis),
+    /// Nothing, or a timeout that holds for this request alone, as a retry's does, which is what is left.
     #[default]
-    Typical,
-    /// The request was written slowly: its client may wait less than it announced.
-    Doubtful,
-    /// A retry, which has what is left, or a request whose body is still received: it holds for this request alone.
     Individual,
 }
 
@@ -102,10 +102,10 @@
         tenant: Option<TenantId>,
         /// What it is about.
         key: Option<AffinityKey>,
-        /// How long the client announced to wait.
+        /// How long the client still waits, by its own word.
         timeout: Millis,
-        /// What that says of its clients.
-        timeout_evidence: TimeoutEvidence,
+        /// What that says of clients like it.
+        announcement: Announcement,
         /// Its expected processing time on a standard core.
         expected_cost: Option<Millis>,
     },
--- a/crates/core/src/settings/json.rs
+++ b/crates/core/src/settings/json.rs
@@ -187,6 +187,7 @@
             _ => WeightMeaning::Unknown,
         },
         key_affinity: flag(&all["extra"], "warmKeys", false),
+        clients_mark_retries: flag(&all["callers"], "marksRetry", false),
         gossip_enabled: flag(ceilings, "mayTell", false),
         prices: Prices { cross_zone: number(prices, "crossZone", 0.0) },
         notification_bounds: None,
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -150,6 +150,8 @@
     pub weight_meaning: WeightMeaning,
     /// Whether an endpoint that has met a key does less work for it.
     pub key_affinity: bool,
+    /// Clients mark their retries.
+    pub clients_mark_retries: bool,
     /// Whether messages between proxies are allowed.
     pub gossip_enabled: bool,
     /// Prices.
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -34,6 +34,7 @@
         notification_bounds: None,
         weight_meaning: WeightMeaning::Capacity,
         key_affinity: false,
+        clients_mark_retries: true,
         gossip_enabled: false,
         prices: Prices::default(),
         limits: Limits {
@@ -72,7 +73,7 @@
         tenant: None,
         key: None,
         timeout,
-        timeout_evidence: TimeoutEvidence::Typical,
+        announcement: Announcement::Individual,
         expected_cost: None,
     }
 }
--- a/crates/core/tests/discovery.rs
+++ b/crates/core/tests/discovery.rs
@@ -33,6 +33,7 @@
             notification_bounds: None,
             weight_meaning: WeightMeaning::Unknown,
             key_affinity: false,
+            clients_mark_retries: true,
             gossip_enabled: false,
             prices: Prices::default(),
             limits,
--- a/crates/core/tests/properties.rs
+++ b/crates/core/tests/properties.rs
@@ -203,7 +203,7 @@
                     tenant,
                     key,
                     timeout,
-                    timeout_evidence: TimeoutEvidence::Typical,
+                    announcement: Announcement::Individual,
                     expected_cost: None,
                 });
             }
--- a/crates/proxy/src/config/file/convert.rs
+++ b/crates/proxy/src/config/file/convert.rs
@@ -107,6 +107,7 @@
         notification_bounds: file.discovery.is_some().then(NotificationBounds::default),
         weight_meaning: WeightMeaning::Capacity,
         key_affinity: false,
+        clients_mark_retries: false,
         gossip_enabled: file.peers.is_some(),
         prices: Prices::default(),
         limits: limits(file),
--- a/crates/proxy/src/driver/attempts.rs
+++ b/crates/proxy/src/driver/attempts.rs
@@ -44,7 +44,7 @@
         if let Some(previous_outcome) = open.last_outcome {
             self.parts.metrics.attempt_retried(previous_outcome);
         }
-        record_start(open, report.attempt, endpoint, self.endpoints.name(endpoint));
+        record_start(open, report.attempt, endpoint, self.endpoints.name(endpoint), timeout);
         let upstream = self.endpoints.upstream(endpoint).filter(|upstream| upstream.is_open());
         let Some(upstream) = upstream.filter(|_| open.state.get() == RequestState::Pending) else {
             return report.send(Outcome::Withdrawn, None);
@@ -92,12 +92,16 @@
 }
 
 /// Records the start of an attempt in the log and for the access event.
-fn record_start(open: &OpenRequest, attempt: u32, endpoint: EndpointId, endpoint_name: Option<&str>) {
+fn record_start(
+    open: &OpenRequest, attempt: u32, endpoint: EndpointId, endpoint_name: Option<&str>,
+    timeout: Option<Millis>,
+) {
     debug!(
         request = open.message.request_id(),
         attempt,
         backend = endpoint_name,
         previous_outcome = open.last_outcome.map(Outcome::name),
+        timeout_ms = timeout.map(f64::round),
         "attempt started"
     );
     if let Some(access_record) = &open.access_record {
--- a/crates/proxy/src/driver/open_requests.rs
+++ b/crates/proxy/src/driver/open_requests.rs
@@ -84,7 +84,7 @@
         let class = arrival.class;
         let tenant = arrival.tenant;
         let key = arrival.key;
-        let timeout_evidence = arrival.timeout_evidence;
+        let announcement = arrival.announcement;
         let expected_cost = arrival.expected_cost;
         let deadline = self.limit_to_shutdown(arrival.deadline);
         let answer_by = deadline - ANSWER_MARGIN;
@@ -95,14 +95,14 @@
             request = arrival.message.request_id(),
             class = class.0,
             timeout_ms = timeout.round(),
-            ?timeout_evidence,
+            ?announcement,
             streamed = arrival.upload_timeout.is_some(),
             "request accepted"
         );
         self.open_requests.insert(id, OpenRequest::new(arrival, deadline, now));
         self.stats.requests += 1;
         self.timers.add(answer_by, Timer::AnswerDue(id));
-        self.handle(Event::Request { id, class, tenant, key, timeout, timeout_evidence, expected_cost });
+        self.handle(Event::Request { id, class, tenant, key, timeout, announcement, expected_cost });
     }
 
     /// An attempt takes a body that is forwarded while it is received. From here on the body is read, and the client's
--- a/crates/proxy/src/frontend/client.rs
+++ b/crates/proxy/src/frontend/client.rs
@@ -55,6 +55,8 @@
     pub(super) closes_with_response: Cell<bool>,
     /// The connection has been closed between two requests.
     pub(super) closed_while_idle: Cell<bool>,
+    /// When the first byte of the head being read was read; line breaks before a head are no part of it.
+    pub(super) head_started_at: Cell<Instant>,
     /// The raw bytes of the head being read.
     pub(super) raw_head: RefCell<Vec<u8>>,
     /// Notices that it takes nothing of a streamed response.
@@ -88,6 +90,7 @@
             read_closed: Cell::new(false),
             closes_with_response: Cell::new(false),
             closed_while_idle: Cell::new(false),
+            head_started_at: Cell::new(now),
             raw_head: RefCell::default(),
             write_watchdog: WriteWatchdog::new(now),
             close: Notify::new(),
--- a/crates/proxy/src/frontend/client_socket.rs
+++ b/crates/proxy/src/frontend/client_socket.rs
@@ -46,6 +46,9 @@
 
     fn append_to_head(&self, bytes: &[u8]) {
         let mut raw_head = self.client.raw_head.borrow_mut();
+        if raw_head.trim_ascii_start().is_empty() {
+            self.client.head_started_at.set(Instant::now());
+        }
         let capacity = (MAX_HEAD_BYTES + 1).saturating_sub(raw_head.len()); // hyper accepts no longer one
         raw_head.extend_from_slice(&bytes[..bytes.len().min(capacity)]);
     }
--- a/crates/proxy/src/frontend/forward.rs
+++ b/crates/proxy/src/frontend/forward.rs
@@ -5,7 +5,7 @@
 
 use hyper::Response;
 use hyper::http::request;
-use leadrelay_core::{RequestId, TimeoutEvidence};
+use leadrelay_core::{Announcement, RequestId};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -27,10 +27,12 @@
 use crate::open_ids::OpenId;
 use crate::upstream::{MessageBody, RequestBody, UpstreamRequest, remove_hop_by_hop};
 
+const MILLIS_PER_SECOND: f64 = 1000.0;
 /// A body that was received within this time arrived with its head.
 const WITH_HEAD: Duration = Duration::from_millis(3);
-/// A request is written slowly that takes this long from its first byte to its last.
-const SLOW_WRITE: Duration = Duration::from_millis(100);
+/// A request is written slowly that takes this long from its first byte to its last: longer than the process may be held
+/// up between reading the two.
+const SLOW_WRITE: Duration = Duration::from_millis(200);
 
 /// A request that can be submitted to the driver.
 struct ReadyRequest {
@@ -47,18 +49,16 @@
 }
 
 impl ReadyRequest {
-    /// What the timeout that its client announced says of its clients. The time in which a streamed body is written is
-    /// not known yet.
-    fn timeout_evidence(&self) -> TimeoutEvidence {
+    /// What its client announced. A streamed body is still being written, for how long is not known.
+    fn announcement(&self) -> Announcement {
         let write_time = self.arrived_at.saturating_duration_since(self.started_at);
-        if self.streamed {
-            TimeoutEvidence::Individual
-        } else if write_time >= SLOW_WRITE {
-            TimeoutEvidence::Doubtful
-        } else if self.meta.is_retry {
-            TimeoutEvidence::Individual
+        let timeout = self.meta.timeout.as_secs_f64() * MILLIS_PER_SECOND;
+        if self.streamed || !self.meta.is_first_try {
+            Announcement::Individual
+        } else if write_time < SLOW_WRITE {
+            Announcement::Typical(timeout)
         } else {
-            TimeoutEvidence::Typical
+            Announcement::Doubtful(timeout)
         }
     }
 }
@@ -123,7 +123,7 @@
 
     /// Counts a request and submits it to the driver, unless its client has disconnected.
     fn submit(&self, ready: ReadyRequest, client: &Client) -> Result<SubmittedRequest, ClientDisconnected> {
-        let timeout_evidence = ready.timeout_evidence();
+        let announcement = ready.announcement();
         let ReadyRequest { id, meta, open_id, message, arrived_at, streamed, .. } = ready;
         let mut ticket = self.count_request(&meta, arrived_at);
         let access_record = self.access_record(&meta, arrived_at);
@@ -140,7 +140,7 @@
             key: meta.affinity_key,
             expected_cost: meta.expected_cost,
             deadline: arrived_at + meta.timeout,
-            timeout_evidence,
+            announcement,
             upload_timeout: streamed.then_some(meta.timeout),
             message,
             answer: answer_sender,
--- a/crates/proxy/src/frontend/received.rs
+++ b/crates/proxy/src/frontend/received.rs
@@ -29,7 +29,7 @@
         let raw_head = (!pipelined).then(|| client.raw_head.take());
         let arrived_at = arrival_time(client, pipelined);
         let is_timed = client.stage.get() == Stage::ReadingHead;
-        let started_at = if is_timed { client.stage_since.get() } else { arrived_at };
+        let started_at = if is_timed { client.head_started_at.get() } else { arrived_at };
         ReceivedHead { request, started_at, arrived_at, raw_head }
     }
 }
--- a/crates/proxy/src/head.rs
+++ b/crates/proxy/src/head.rs
@@ -28,8 +28,8 @@
     pub expected_cost: Option<Millis>,
     /// How long the client waits for the response.
     pub timeout: Duration,
-    /// Whether the client marks it as a retry.
-    pub is_retry: bool,
+    /// Whether the client announced that with a first try, as far as is known.
+    pub is_first_try: bool,
     /// Whether its id may be used by one open request only.
     pub requires_unique_id: bool,
     /// Whether backends are sent `X-Forwarded-*` headers, and the id if the client sent none.
--- a/crates/proxy/src/inbox.rs
+++ b/crates/proxy/src/inbox.rs
@@ -5,7 +5,7 @@
 
 use leadrelay_core::settings::json::Connections;
 use leadrelay_core::{
-    AffinityKey, ClassId, ListScope, Millis, Outcome, Reconfiguration, RequestId, TenantId, TimeoutEvidence,
+    AffinityKey, Announcement, ClassId, ListScope, Millis, Outcome, Reconfiguration, RequestId, TenantId,
 };
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
@@ -72,8 +72,8 @@
     pub expected_cost: Option<Millis>,
     /// When the client gives up, by what it announced.
     pub deadline: Instant,
-    /// What the timeout that it announced says of its clients.
-    pub timeout_evidence: TimeoutEvidence,
+    /// What that says of clients like it.
+    pub announcement: Announcement,
     /// How long the client waits after the last byte of its body, if the body is still being received.
     pub upload_timeout: Option<Duration>,
     pub message: UpstreamRequest,
--- a/crates/simulator/src/reconnect.rs
+++ b/crates/simulator/src/reconnect.rs
@@ -241,6 +241,7 @@
         notification_bounds: None,
         weight_meaning: WeightMeaning::Unknown,
         key_affinity: false,
+        clients_mark_retries: false,
         gossip_enabled: false,
         prices: Prices::default(),
         limits: Limits {
--- a/crates/simulator/src/settings.rs
+++ b/crates/simulator/src/settings.rs
@@ -37,6 +37,7 @@
         notification_bounds: Some(NotificationBounds::default()),
         weight_meaning: WeightMeaning::Capacity,
         key_affinity: true,
+        clients_mark_retries: false,
         gossip_enabled: scenario.network.gossip_loss < 1.0,
         prices: Prices { cross_zone: scenario.prices.cross_zone },
         limits: limits(workload),
