A restart that a proxy has seen is in slow start, however far its wall clock is ahead

Cause: Clock::at_unix reckons a start by the offsets of the wall clock that the process has seen. If the clock was ahead by an hour from its start there is only the wrong one, so that a backend which restarts while the proxy runs seems an hour old (driver/endpoints.rs, started_at), though its former start was listed until a moment ago.

Change: start_times.rs keeps for each endpoint until when discovery has listed its last known process, by the monotonic clock; the core's subscription tells when the held list was last sent or confirmed. A start that seems to lie over ten minutes before that is impossible by a right clock: then only the time of the list is certain, and it counts as the start. Lists from the configuration and from a predecessor are no evidence, as their age is not known.

--- a/crates/cli/tests/system_errors.rs
+++ b/crates/cli/tests/system_errors.rs
@@ -132,7 +132,7 @@
     assert_slow_start_with_clock_ahead_at_start(Some("removed"));
 }
 
-/// Guards against slow start of backends whose age is known: with a right clock discovery may be late to tell of a start.
+/// Guards against slow start of backends whose age is known: discovery may be late to list a start, by a right clock too.
 #[test]
 fn backend_of_known_age_is_warm_however_it_is_listed() {
     let backend = Backend::new(Reply::Write(ok("served")));
--- a/crates/core/src/balancer/discovery.rs
+++ b/crates/core/src/balancer/discovery.rs
@@ -130,6 +130,11 @@
         self.subscription.version()
     }
 
+    /// When discovery last sent, or confirmed, the list that is held; `None` if it has sent none.
+    pub fn list_confirmed_at(&self) -> Option<Millis> {
+        self.subscription.confirmed_at()
+    }
+
     /// Whether an update of the list would be applied.
     pub fn admits_update(&self, call: CallId, version: u64, complete: bool) -> bool {
         self.subscription.admission(call, version, complete) == Admission::Apply
--- a/crates/core/src/discovery/subscription.rs
+++ b/crates/core/src/discovery/subscription.rs
@@ -46,6 +46,8 @@
     former: Option<FormerWatch>,
     calls: u64,
     version: Option<u64>,
+    /// When discovery last sent the list that is held, or said that it is still the latest.
+    confirmed_at: Option<Millis>,
     /// Every change that discovery could have sent before is known.
     complete_to: Millis,
     /// Since when no watch has been open, as far as discovery could be reached.
@@ -65,6 +67,7 @@
             former: None,
             calls: 0,
             version: None,
+            confirmed_at: None,
             complete_to: 0.0,
             unwatched_since: 0.0,
             notified_by: None,
@@ -102,6 +105,11 @@
         self.version
     }
 
+    /// When discovery last sent the list that is held, or said that it is still the latest; `None` if it has sent none.
+    pub fn confirmed_at(&self) -> Option<Millis> {
+        self.confirmed_at
+    }
+
     /// Whether a watch is open that has sent its list.
     pub fn is_synchronized(&self) -> bool {
         matches!(self.phase, Phase::Synchronized { .. })
@@ -175,6 +183,7 @@
     /// if it is not needed any longer.
     pub fn received(&mut self, call: CallId, read_at: Millis, version: Option<u64>) -> Option<CallId> {
         self.complete_to = self.complete_to.max(read_at);
+        self.confirmed_at = Some(read_at);
         if let Some(former) = self.former.as_mut().filter(|former| former.call == call) {
             former.version = version.or(former.version);
             return None;
--- a/crates/core/tests/subscription.rs
+++ b/crates/core/tests/subscription.rs
@@ -425,3 +425,27 @@
     proxy.send_list(5, true, vec![endpoint(1)]);
     proxy.valid_until_grace_after(proxy.now + AFTER_CHANGE);
 }
+
+#[test]
+fn list_is_confirmed_by_its_watch_alone() {
+    let mut proxy = Proxy::new(DiscoveryMode::OnRequest);
+    proxy.heartbeat();
+    assert_eq!(proxy.balancer.list_confirmed_at(), None, "discovery has sent no list");
+    proxy.send_list(5, true, vec![endpoint(1)]);
+    proxy.run_until(proxy.now + 500.0);
+    proxy.heartbeat();
+    let heard_at = proxy.now;
+    proxy.run_until(heard_at + 500.0);
+    proxy.send_list(4, true, vec![endpoint(2)]);
+    assert_eq!(
+        proxy.balancer.list_confirmed_at(),
+        Some(heard_at),
+        "an older list says nothing of the one held"
+    );
+    proxy.end_call(CallEnd::Unreachable);
+    proxy.await_call();
+    proxy.heartbeat();
+    assert_eq!(proxy.balancer.list_confirmed_at(), Some(heard_at), "nor does a call without an answer");
+    proxy.send_list(5, false, vec![]);
+    assert_eq!(proxy.balancer.list_confirmed_at(), Some(proxy.now), "nothing has changed");
+}
--- a/crates/proxy/src/driver/clock.rs
+++ b/crates/proxy/src/driver/clock.rs
@@ -35,6 +35,11 @@
         instant.saturating_duration_since(self.start).as_secs_f64() * 1000.0
     }
 
+    /// The present time.
+    pub fn now(&self) -> Millis {
+        self.at(Instant::now())
+    }
+
     /// The instant of a time.
     pub fn instant(&self, at: Millis) -> Instant {
         self.start + Duration::from_secs_f64(at.clamp(0.0, MAX_TIME) / 1000.0)
@@ -73,7 +78,7 @@
         if !unix_ms.is_finite() || unix_ms <= 0.0 {
             return None;
         }
-        let now = self.at(Instant::now());
+        let now = self.now();
         let possible =
             self.offsets.iter().map(|offset| unix_ms - offset).filter(|at| *at <= now + MAX_CLOCK_SKEW);
         Some(possible.reduce(f64::max).unwrap_or(now))
--- a/crates/proxy/src/driver/endpoint_updates.rs
+++ b/crates/proxy/src/driver/endpoint_updates.rs
@@ -11,6 +11,7 @@
 
 use super::Driver;
 use super::endpoints::Context;
+use super::start_times::ListTime;
 use crate::discovery::{CallError, CallReport, Calls, DiscoveryReceiver, DiscoveryReport, EndpointList};
 use crate::listed_endpoint::ListedEndpoint;
 
@@ -123,7 +124,7 @@
         self.clock.follow_wall_clock();
         let mut context = Context {
             balancer: &self.balancer,
-            clock: &self.clock,
+            time: ListTime { clock: &self.clock, former_confirmed_at: self.balancer.list_confirmed_at() },
             names: &mut self.names,
             upstreams: &self.parts.upstreams,
         };
--- a/crates/proxy/src/driver/endpoints.rs
+++ b/crates/proxy/src/driver/endpoints.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 
 use leadrelay_core::names::{Names, hash_name, intern};
-use leadrelay_core::{Balancer, CellId, Endpoint, EndpointId, EndpointState, MachineClassId, Millis, ZoneId};
+use leadrelay_core::{Balancer, CellId, Endpoint, EndpointId, EndpointState, MachineClassId, ZoneId};
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use super::clock::Clock;
+use super::start_times::{ListTime, StartTimes};
 use crate::listed_endpoint::{Health, ListedEndpoint};
 use crate::upstream::{UpstreamEndpoint, UpstreamPool};
 
@@ -19,26 +19,18 @@
 /// What is needed to make the upstream and the balancer's entry of an endpoint.
 pub struct Context<'a> {
     pub balancer: &'a Balancer,
-    pub clock: &'a Clock,
+    pub time: ListTime<'a>,
     pub names: &'a mut Names,
     pub upstreams: &'a UpstreamPool,
 }
 
-/// When an endpoint started, by discovery and by the balancer's clock.
-#[derive(Clone, Copy)]
-struct StartTime {
-    unix_ms: f64,
-    at: Option<Millis>,
-}
-
 /// The listed endpoints.
 #[derive(Default)]
 pub struct Endpoints {
     upstreams: FxHashMap<EndpointId, Rc<UpstreamEndpoint>>,
     /// The present list.
     listed: FxHashMap<EndpointId, ListedEndpoint>,
-    /// When each listed endpoint started. Converted once, as the wall clock may be stepped afterwards.
-    start_times: FxHashMap<EndpointId, StartTime>,
+    start_times: StartTimes,
     ever_listed: RememberedIds,
 }
 
@@ -55,13 +47,13 @@
         if complete {
             let listed: FxHashSet<EndpointId> = entries.iter().map(|entry| entry.id).collect();
             self.retain(&listed);
+            self.start_times.retain(&listed, context.time);
         }
         entries
     }
 
     /// Drops the endpoints that are not listed. Attempts in flight keep what they need of them.
     fn retain(&mut self, listed: &FxHashSet<EndpointId>) {
-        self.start_times.retain(|id, _| listed.contains(id));
         self.upstreams.retain(|id, upstream| {
             let is_listed = listed.contains(id);
             if !is_listed {
@@ -87,25 +79,23 @@
             cell: endpoint.cell.map(CellId),
             state,
             weight: endpoint.weight.unwrap_or(1.0),
-            started_at: self.started_at(id, endpoint.started_unix_ms, context.clock),
+            started_at: match state {
+                EndpointState::Removed => {
+                    self.start_times.find(id, endpoint.started_unix_ms, context.time.clock)
+                }
+                _ => self.start_times.record(id, endpoint.started_unix_ms, context.time),
+            },
         };
         if state == EndpointState::Removed {
             self.upstreams.remove(&id);
             self.listed.remove(&id);
-            self.start_times.remove(&id);
+            self.start_times.unlist(id, context.time);
         } else {
             self.listed.insert(id, endpoint);
         }
         entry
     }
 
-    fn started_at(&mut self, id: EndpointId, unix_ms: f64, clock: &Clock) -> Option<Millis> {
-        let known = self.start_times.get(&id).filter(|start| start.unix_ms == unix_ms);
-        let start = known.copied().unwrap_or_else(|| StartTime { unix_ms, at: clock.at_unix(unix_ms) });
-        self.start_times.insert(id, start);
-        start.at
-    }
-
     /// Makes the upstream of an endpoint's process, unless there is one for that process at that address.
     fn connect(&mut self, id: EndpointId, endpoint: &ListedEndpoint, context: &mut Context) {
         let Some(address) = endpoint.address else { return };
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -3,7 +3,8 @@
 //! [`Driver`], its event loop and the dispatch of inputs, timers and actions are in this file; its other methods are in
 //! the modules below.
 //!
-//! - `endpoint_updates`: where an endpoint list arrives; `endpoints` has the listed endpoints and their upstreams
+//! - `endpoint_updates`: where an endpoint list arrives; `endpoints` has the listed endpoints and their upstreams,
+//!   `start_times` when they started
 //! - `operator_commands`: where a drain or an endpoint's maintenance arrives
 //! - `takeover`: what is taken from a predecessor process and what is written for a successor
 //! - `open_requests`, `attempts`, `attempt_report`: a request from its arrival to its answer
@@ -19,6 +20,7 @@
 mod open_requests;
 mod operator_commands;
 mod periodic_stats;
+mod start_times;
 mod takeover;
 mod timers;
 
