Failing tests: a backend listed by a wall clock that is ahead and set right later

Cause: the start of a backend is converted once, when it is listed. If the wall clock is ahead then and is set right a moment later, as after a machine's start, a cold backend stays taken for warm, though the right reading is known.

Change: three tests (in the first list, listed later, by an hour and by 9 s) with the clock set right by the fault library; each also steps the clock back by two hours, after which a backend that was listed before must stay warm. Known red until the fix.

--- a/crates/cli/tests/system_errors.rs
+++ b/crates/cli/tests/system_errors.rs
@@ -27,7 +27,11 @@
         discovery.publish(&list(1, true, hosts));
         let text = config(discovery.address, &Setup { has_admin: true, ..Setup::default() });
         // A slow start of two seconds instead of nearly nine.
-        let file = config_file(&text.replace("\"cold\":8700", "\"cold\":2000"));
+        FaultyProxy::start_with_config(discovery, &text.replace("\"cold\":8700", "\"cold\":2000"), seconds)
+    }
+
+    fn start_with_config(discovery: Discovery, text: &str, seconds: i64) -> Self {
+        let file = config_file(text);
         let faults = SyscallFaults::new(&file.with_extension("faults")).expect("a file");
         faults.step_clock(seconds);
         let mut command = Command::new(env!("CARGO_BIN_EXE_leadrelay"));
@@ -132,7 +136,46 @@
     assert_slow_start_with_clock_ahead_at_start(Some("removed"));
 }
 
-/// Guards against slow start of backends whose age is known: discovery may be late to list a start, by a right clock too.
+/// Asserts that a backend that has just started is in slow start once the clock of a proxy is right that was so many
+/// seconds ahead at its start. `listed_later` says that the backend is not in the first list of the proxy.
+fn assert_slow_start_once_clock_is_right(seconds: i64, listed_later: bool) {
+    let old = Backend::new(Reply::Write(ok("old")));
+    let new = Backend::new(Reply::Write(ok("new")));
+    let old_entry = host("s-0", old.address, "up", unix_ms(-2 * HOUR));
+    let started = host("s-1", new.address, "up", unix_ms(0));
+    let discovery = Discovery::new();
+    let text = config(discovery.address, &Setup { has_admin: true, ..Setup::default() });
+    let first = if listed_later { vec![old_entry] } else { vec![old_entry, started.clone()] };
+    discovery.publish(&list(1, true, &first));
+    let mut proxy = FaultyProxy::start_with_config(discovery, &text, seconds);
+    if listed_later {
+        proxy.publish(started);
+    }
+    wait_for("two members", || proxy.process.stat("/members") == 2);
+    proxy.faults.step_clock(0);
+    wait_for("slow start", || proxy.members("cold") == Some(1));
+    wait_for("the end of slow start", || proxy.members("cold") == Some(0));
+    proxy.faults.step_clock(-2 * HOUR);
+    std::thread::sleep(Duration::from_millis(300)); // until the proxy has seen the step
+    assert_eq!(proxy.members("cold"), Some(0), "both are known not to have started now");
+}
+
+#[test]
+fn backend_in_first_list_is_in_slow_start_once_clock_ahead_is_set_right() {
+    assert_slow_start_once_clock_is_right(HOUR, false);
+}
+
+#[test]
+fn backend_listed_with_clock_ahead_is_in_slow_start_once_clock_is_set_right() {
+    assert_slow_start_once_clock_is_right(HOUR, true);
+}
+
+#[test]
+fn backend_listed_with_clock_seconds_ahead_is_in_slow_start_once_clock_is_set_right() {
+    assert_slow_start_once_clock_is_right(9, true);
+}
+
+/// Guards against slow start of backends whose age is known: by a right clock too, starts may be listed late.
 #[test]
 fn backend_of_known_age_is_warm_however_it_is_listed() {
     let backend = Backend::new(Reply::Write(ok("served")));
