Starts of backends are reckoned anew once a wall clock that was wrong is set right

Cause: a start is converted by the readings of the wall clock seen until the backend is listed, and never again (driver/endpoints.rs). A step after that, such as the setting of a clock that was ahead at the start of the machine, is noted by Clock but changes no start: a cold backend that seemed warm stays so.

Change: after a step, start_times.rs converts each start anew, by every reading seen, for the moment when it was listed first: no process started later. A start that turns out over a second later goes to the core as Event::StartTimes; the endpoint is in slow start if it was taken to be warm and is not. Budgets that run and outlier records stand. A process that sees no step of its clock makes no such event.

--- a/crates/core/src/balancer/endpoint_updates.rs
+++ b/crates/core/src/balancer/endpoint_updates.rs
@@ -4,7 +4,7 @@
 use crate::endpoint::Endpoint;
 use crate::endpoints::{EndpointIndex, TierIndex};
 use crate::hash::unit_hash;
-use crate::ids::Millis;
+use crate::ids::{EndpointId, Millis};
 use crate::slow_start::{SlowStartShare, slow_start_factor};
 
 /// Tiers by which another proxy's slot counts slower, as both may take it at once.
@@ -44,6 +44,25 @@
         }
     }
 
+    /// Endpoints have started later than was known. Those that were taken to be warm and are not get what a new process
+    /// gets; what has been seen of them stands.
+    pub(super) fn correct_start_times(&mut self, now: Millis, starts: &[(EndpointId, Millis)]) {
+        for &(id, started_at) in starts {
+            let Some(endpoint) = self.endpoints.find(id) else { continue };
+            let known = self.endpoints[endpoint].listed.started_at;
+            if known.is_some_and(|known| known >= started_at) {
+                continue;
+            }
+            let was_warm = self.slow_start_factor(endpoint, now) >= 1.0;
+            self.endpoints[endpoint].listed.started_at = Some(started_at);
+            if was_warm && self.slow_start_factor(endpoint, now) < 1.0 {
+                self.endpoints[endpoint].slow_start.restart(now, self.rng.f64());
+            }
+            self.update_speed(endpoint, now);
+            self.update_slots(endpoint);
+        }
+    }
+
     pub(super) fn slow_start_factor(&self, endpoint: EndpointIndex, now: Millis) -> f64 {
         let started_at = self.endpoints[endpoint].listed.started_at;
         slow_start_factor(started_at, now, &self.settings.limits)
--- a/crates/core/src/balancer/mod.rs
+++ b/crates/core/src/balancer/mod.rs
@@ -102,6 +102,7 @@
         match event {
             Event::Discovery(event) => self.handle_discovery(now, event, out),
             Event::List { scope, entries } => self.handle_list(now, scope, entries),
+            Event::StartTimes(starts) => self.correct_start_times(now, &starts),
             Event::Request { id, class, tenant, key, timeout, expected_cost } => {
                 let request = NewRequest { id, class, tenant, key, timeout, expected_cost };
                 self.handle_arrival(now, request, out);
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -80,6 +80,8 @@
         /// Its entries.
         entries: Vec<Endpoint>,
     },
+    /// Listed endpoints turn out to have started later than their entries said.
+    StartTimes(Vec<(EndpointId, Millis)>),
     /// A request has arrived and is owed exactly one final answer.
     Request {
         /// Its number.
--- a/crates/core/tests/slow_start.rs
+++ b/crates/core/tests/slow_start.rs
@@ -175,3 +175,28 @@
         assert!(ratio > 0.25, "word {gossip_enabled}: {ratio:.2}");
     }
 }
+
+#[test]
+fn endpoint_that_turns_out_to_have_just_started_is_in_slow_start() {
+    let scenario = start(1);
+    let long_ago = Endpoint { started_at: Some(0.0), ..one_core(STARTED) };
+    let mut h = Harness::seeded(scenario.settings.clone(), vec![long_ago.clone(), one_core(1)], 7);
+    h.advance(2.0 * scenario.settings.limits.slow_start_window);
+    let warming_up =
+        |h: &Harness| h.balancer.gauges(h.now).endpoints_by_status[EndpointStatus::WarmingUp as usize];
+    assert_eq!(warming_up(&h), 0);
+    let (unknown, earlier) = (EndpointId(99), (EndpointId(STARTED), -1.0));
+    h.handle(Event::StartTimes(vec![(unknown, h.now), earlier]));
+    assert_eq!(warming_up(&h), 0, "no start is taken for earlier");
+    h.handle(Event::StartTimes(vec![(EndpointId(STARTED), 10.0)]));
+    assert_eq!(warming_up(&h), 0, "it has warmed up since");
+    let started_at = h.now - 1000.0;
+    h.handle(Event::StartTimes(vec![(EndpointId(STARTED), started_at)]));
+    assert_eq!(warming_up(&h), 1);
+    let relisted = Endpoint { started_at: Some(started_at), ..long_ago };
+    h.handle(Event::List { scope: ListScope::Delta, entries: vec![relisted] });
+    h.advance(scenario.settings.limits.slow_start_window - 1500.0);
+    assert_eq!(warming_up(&h), 1);
+    h.advance(600.0);
+    assert_eq!(warming_up(&h), 0, "a window after its start");
+}
--- a/crates/proxy/src/driver/clock.rs
+++ b/crates/proxy/src/driver/clock.rs
@@ -8,7 +8,7 @@
 /// A wall clock that differs by more from what it should show has been stepped, or has been slewed this far.
 const MIN_STEP: Duration = Duration::from_millis(100);
 /// An endpoint's start may seem to lie this far ahead, as clocks of machines differ.
-const MAX_CLOCK_SKEW: Millis = 1000.0;
+pub const MAX_CLOCK_SKEW: Millis = 1000.0;
 /// Offsets of the wall clock that are remembered.
 const MAX_OFFSETS: usize = 1024;
 /// Latest time that is converted to an instant.
@@ -22,12 +22,14 @@
     start: Instant,
     /// How far the wall clock was ahead, oldest first; never empty.
     offsets: Vec<Millis>,
+    /// Steps of the wall clock that have been seen.
+    steps: u64,
 }
 
 impl Clock {
     /// A clock that starts now.
     pub fn new() -> Self {
-        Clock { start: Instant::now(), offsets: vec![unix_now()] }
+        Clock { start: Instant::now(), offsets: vec![unix_now()], steps: 0 }
     }
 
     /// The time of an instant.
@@ -63,6 +65,7 @@
             self.offsets.remove(1); // the first stays: clocks of other machines may not have been stepped at all
         }
         self.offsets.push(offset);
+        self.steps += 1;
     }
 
     /// How far the wall clock is ahead now.
@@ -70,18 +73,22 @@
         self.offsets.last().copied().unwrap_or_default()
     }
 
-    /// When an endpoint started, by the Unix time that discovery gives; `None` for long ago.
+    /// How many steps of the wall clock have been seen.
+    pub fn steps(&self) -> u64 {
+        self.steps
+    }
+
+    /// When an endpoint started that was listed then, by the Unix time that discovery gives; `None` for long ago.
     ///
     /// Of the times that it may mean the latest is taken: an endpoint that is still taken to be warming up gets fewer
     /// requests for a while, one that is wrongly taken to be warm is overloaded.
-    pub fn at_unix(&self, unix_ms: f64) -> Option<Millis> {
+    pub fn at_unix(&self, unix_ms: f64, listed_at: Millis) -> Option<Millis> {
         if !unix_ms.is_finite() || unix_ms <= 0.0 {
             return None;
         }
-        let now = self.now();
-        let possible =
-            self.offsets.iter().map(|offset| unix_ms - offset).filter(|at| *at <= now + MAX_CLOCK_SKEW);
-        Some(possible.reduce(f64::max).unwrap_or(now))
+        let latest = listed_at + MAX_CLOCK_SKEW;
+        let possible = self.offsets.iter().map(|offset| unix_ms - offset).filter(|at| *at <= latest);
+        Some(possible.reduce(f64::max).unwrap_or(listed_at))
     }
 }
 
--- a/crates/proxy/src/driver/endpoints.rs
+++ b/crates/proxy/src/driver/endpoints.rs
@@ -4,9 +4,10 @@
 use std::rc::Rc;
 
 use leadrelay_core::names::{Names, hash_name, intern};
-use leadrelay_core::{Balancer, CellId, Endpoint, EndpointId, EndpointState, MachineClassId, ZoneId};
+use leadrelay_core::{Balancer, CellId, Endpoint, EndpointId, EndpointState, MachineClassId, Millis, ZoneId};
 use rustc_hash::{FxHashMap, FxHashSet};
 
+use super::clock::Clock;
 use super::start_times::{ListTime, StartTimes};
 use crate::listed_endpoint::{Health, ListedEndpoint};
 use crate::upstream::{UpstreamEndpoint, UpstreamPool};
@@ -96,6 +97,11 @@
         entry
     }
 
+    /// Allows for steps of the wall clock. Returns listed endpoints that may have started later than was known.
+    pub fn correct_start_times(&mut self, clock: &Clock) -> Vec<(EndpointId, Millis)> {
+        self.start_times.correct(clock)
+    }
+
     /// Makes the upstream of an endpoint's process, unless there is one for that process at that address.
     fn connect(&mut self, id: EndpointId, endpoint: &ListedEndpoint, context: &mut Context) {
         let Some(address) = endpoint.address else { return };
--- a/crates/proxy/src/driver/housekeeping.rs
+++ b/crates/proxy/src/driver/housekeeping.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use leadrelay_core::Event;
 use tokio::time::Instant;
+use tracing::info;
 
 use super::Driver;
 
@@ -49,6 +51,7 @@
     pub(super) fn housekeeping(&mut self, schedule: &mut Schedule, now: Instant) {
         if now >= schedule.gauges_due_at {
             self.clock.follow_wall_clock();
+            self.correct_start_times();
             self.update_gauges();
             self.parts.upstreams.close_expired();
             self.become_ready_without_discovery(schedule.started_at);
@@ -76,6 +79,15 @@
         }
     }
 
+    /// What was listed while the wall clock was wrong may have started later than it seemed.
+    fn correct_start_times(&mut self) {
+        let starts = self.endpoints.correct_start_times(&self.clock);
+        if !starts.is_empty() {
+            info!(endpoints = starts.len(), "start times corrected after a step of the wall clock");
+            self.handle(Event::StartTimes(starts));
+        }
+    }
+
     fn update_gauges(&self) {
         let now = self.clock.at(Instant::now());
         self.parts.metrics.set_gauges(&self.balancer.gauges(now));
