--- a/crates/cli/tests/system_errors.rs
+++ b/crates/cli/tests/system_errors.rs
@@ -18,12 +18,22 @@
 
 impl FaultyProxy {
     fn start(hosts: &[String]) -> Self {
+        FaultyProxy::start_with_clock_ahead(hosts, 0)
+    }
+
+    /// Starts a proxy whose wall clock is so many seconds ahead from the first.
+    fn start_with_clock_ahead(hosts: &[String], seconds: i64) -> Self {
         let discovery = Discovery::new();
         discovery.publish(&list(1, true, hosts));
         let text = config(discovery.address, &Setup { has_admin: true, ..Setup::default() });
         // A slow start of two seconds instead of nearly nine.
-        let file = config_file(&text.replace("\"cold\":8700", "\"cold\":2000"));
+        FaultyProxy::start_with_config(discovery, &text.replace("\"cold\":8700", "\"cold\":2000"), seconds)
+    }
+
+    fn start_with_config(discovery: Discovery, text: &str, seconds: i64) -> Self {
+        let file = config_file(text);
         let faults = SyscallFaults::new(&file.with_extension("faults")).expect("a file");
+        faults.step_clock(seconds);
         let mut command = Command::new(env!("CARGO_BIN_EXE_leadrelay"));
         command
             .arg("serve")
@@ -88,6 +98,106 @@
     assert_slow_start_after_step(3600);
 }
 
+/// In seconds.
+const MINUTE: i64 = 60;
+/// In seconds.
+const HOUR: i64 = 60 * MINUTE;
+
+/// Asserts that a backend which restarts while a proxy runs whose wall clock was an hour ahead at its start is in slow
+/// start as long as any other. `before` is published ahead of the restart, if anything is.
+fn assert_slow_start_with_clock_ahead_at_start(health_before: Option<&str>) {
+    let old = Backend::new(Reply::Write(ok("old")));
+    let new = Backend::new(Reply::Write(ok("new")));
+    let former_start = unix_ms(-2 * HOUR);
+    let hosts = [host("s-0", old.address, "up", 0), host("s-1", old.address, "up", former_start)];
+    let mut proxy = FaultyProxy::start_with_clock_ahead(&hosts, HOUR);
+    assert_eq!(proxy.members("cold"), Some(0), "both have been warm for long");
+    if let Some(health) = health_before {
+        proxy.publish(host("s-1", old.address, health, former_start));
+        std::thread::sleep(Duration::from_millis(300)); // it is out of service for a while
+    }
+    proxy.publish(host("s-1", new.address, "up", unix_ms(0)));
+    wait_for("slow start", || proxy.members("cold") == Some(1));
+    wait_for("the end of slow start", || proxy.members("cold") == Some(0));
+}
+
+#[test]
+fn backend_restarted_with_proxy_clock_ahead_at_start_is_in_slow_start() {
+    assert_slow_start_with_clock_ahead_at_start(None);
+}
+
+#[test]
+fn backend_drained_and_restarted_with_proxy_clock_ahead_at_start_is_in_slow_start() {
+    assert_slow_start_with_clock_ahead_at_start(Some("draining"));
+}
+
+#[test]
+fn backend_removed_and_restarted_with_proxy_clock_ahead_at_start_is_in_slow_start() {
+    assert_slow_start_with_clock_ahead_at_start(Some("removed"));
+}
+
+/// Asserts that a backend that has just started is in slow start once the clock of a proxy is right that was so many
+/// seconds ahead at its start. `listed_later` says that the backend is not in the first list of the proxy.
+fn assert_slow_start_once_clock_is_right(seconds: i64, listed_later: bool) {
+    let old = Backend::new(Reply::Write(ok("old")));
+    let new = Backend::new(Reply::Write(ok("new")));
+    let old_entry = host("s-0", old.address, "up", unix_ms(-2 * HOUR));
+    let started = host("s-1", new.address, "up", unix_ms(0));
+    let discovery = Discovery::new();
+    let text = config(discovery.address, &Setup { has_admin: true, ..Setup::default() });
+    let first = if listed_later { vec![old_entry] } else { vec![old_entry, started.clone()] };
+    discovery.publish(&list(1, true, &first));
+    let mut proxy = FaultyProxy::start_with_config(discovery, &text, seconds);
+    if listed_later {
+        proxy.publish(started);
+    }
+    wait_for("two members", || proxy.process.stat("/members") == 2);
+    proxy.faults.step_clock(0);
+    wait_for("slow start", || proxy.members("cold") == Some(1));
+    wait_for("the end of slow start", || proxy.members("cold") == Some(0));
+    proxy.faults.step_clock(-2 * HOUR);
+    std::thread::sleep(Duration::from_millis(300)); // until the proxy has seen the step
+    assert_eq!(proxy.members("cold"), Some(0), "both are known not to have started now");
+}
+
+#[test]
+fn backend_in_first_list_is_in_slow_start_once_clock_ahead_is_set_right() {
+    assert_slow_start_once_clock_is_right(HOUR, false);
+}
+
+#[test]
+fn backend_listed_with_clock_ahead_is_in_slow_start_once_clock_is_set_right() {
+    assert_slow_start_once_clock_is_right(HOUR, true);
+}
+
+#[test]
+fn backend_listed_with_clock_seconds_ahead_is_in_slow_start_once_clock_is_set_right() {
+    assert_slow_start_once_clock_is_right(9, true);
+}
+
+/// Guards against slow start of backends whose age is known: by a right clock too, starts may be listed late.
+#[test]
+fn backend_of_known_age_is_warm_however_it_is_listed() {
+    let backend = Backend::new(Reply::Write(ok("served")));
+    let entry = |name: &str, health: &str, age: i64| host(name, backend.address, health, unix_ms(-age));
+    let former = entry("s-1", "up", 10 * MINUTE);
+    let mut proxy = FaultyProxy::start(&[host("s-0", backend.address, "up", 0), former]);
+    let restarted = entry("s-1", "up", MINUTE);
+    proxy.publish(restarted.clone());
+    proxy.publish(entry("s-2", "up", HOUR));
+    wait_for("a new backend", || proxy.process.stat("/members") == 3);
+    assert_eq!(
+        proxy.members("cold"),
+        Some(0),
+        "a start that is listed late, a backend that was not listed before"
+    );
+    proxy.publish(restarted.replace("\"up\"", "\"removed\""));
+    wait_for("its removal", || proxy.process.stat("/members") == 2);
+    proxy.publish(restarted);
+    wait_for("its return", || proxy.process.stat("/members") == 3);
+    assert_eq!(proxy.members("cold"), Some(0), "a backend that is back");
+}
+
 #[test]
 fn interrupted_and_short_calls_lose_no_request() {
     let backend = Backend::new(Reply::Write(ok("served")));
