Configuration file: fields have the standard terms, the keys stand in serde(rename)

The form of the TOML file had its keys as field names (aim, worth, late_worth, over_allowance_worth, cold, kind, me, per_second, capacity, span, multiple, fall), and the conversion translated them to the terms of the settings field by field. The fields now have the terms of the settings they become (latency_objective, priority_weight, late_fraction, over_quota_fraction, slow_start, machine_class, proxy_index, quota_per_second, initial_capacity, window, overload_multiple, overload_window); each key is named once, at its field.

Old program against new: schema, example, reference page, the explanation of every key, and the reports (text and JSON) on 1509 copies of the example with a line dropped, doubled, misspelt or of another type: 3072 comparisons, none differ. The proxy's 57 tests pass, as before.

--- a/crates/proxy/src/config/file/checks.rs
+++ b/crates/proxy/src/config/file/checks.rs
@@ -76,7 +76,7 @@
             self.fault_at(&pointer("deadline"), "a deadline has to be 1ms or more");
         }
         let within_deadline = MIN_DEADLINE..=class.deadline.ms();
-        if class.aim.is_some_and(|aim| !within_deadline.contains(&aim.ms())) {
+        if class.latency_objective.is_some_and(|objective| !within_deadline.contains(&objective.ms())) {
             self.fault_at(&pointer("aim"), "an aim has to be 1ms or more and within the deadline");
         }
         if !class.path.starts_with('/') {
@@ -99,8 +99,8 @@
 
     fn peers(&mut self, peers: &Peers) {
         let count = peers.addresses.len();
-        if peers.me as usize >= count {
-            self.fault_at("/peers/me", format!("proxy {} of {count} (they count from 0)", peers.me));
+        if peers.proxy_index as usize >= count {
+            self.fault_at("/peers/me", format!("proxy {} of {count} (they count from 0)", peers.proxy_index));
         }
     }
 
--- a/crates/proxy/src/config/file/convert.rs
+++ b/crates/proxy/src/config/file/convert.rs
@@ -81,9 +81,9 @@
         methods,
         effect,
         deadline: defaults::DEADLINE,
-        aim: Some(defaults::LATENCY_OBJECTIVE),
-        worth: defaults::one(),
-        late_worth: defaults::late_worth(),
+        latency_objective: Some(defaults::LATENCY_OBJECTIVE),
+        priority_weight: defaults::one(),
+        late_fraction: defaults::late_fraction(),
         scope: Scope::All,
         window: None,
     }
@@ -96,12 +96,16 @@
 
 fn settings(file: &File, zone: Option<ZoneId>) -> Settings {
     Settings {
-        proxy_index: file.peers.as_ref().map_or(0, |peers| peers.me),
+        proxy_index: file.peers.as_ref().map_or(0, |peers| peers.proxy_index),
         proxies: file.peers.as_ref().map_or(1, |peers| peers.addresses.len() as u32),
         zone,
         classes: file.classes.iter().map(RequestClass::from).collect(),
-        tenants: file.tenants.iter().map(|tenant| Tenant { quota_per_second: tenant.per_second }).collect(),
-        over_quota_fraction: file.over_allowance_worth,
+        tenants: file
+            .tenants
+            .iter()
+            .map(|tenant| Tenant { quota_per_second: tenant.quota_per_second })
+            .collect(),
+        over_quota_fraction: file.over_quota_fraction,
         weight_per_work: false,
         discovery: DiscoveryMode::Pushed,
         notification_bounds: file.discovery.is_some().then(NotificationBounds::default),
@@ -118,10 +122,10 @@
         // The last list is used for as long as discovery is silent.
         drain_grace: f64::INFINITY,
         notified_without_watch: f64::INFINITY,
-        initial_capacity: file.cold.capacity,
-        slow_start_window: file.cold.span.ms().max(MIN_SPAN),
-        overload_multiple: file.cold.multiple,
-        overload_window: file.cold.fall.ms().max(MIN_SPAN),
+        initial_capacity: file.slow_start.initial_capacity,
+        slow_start_window: file.slow_start.window.ms().max(MIN_SPAN),
+        overload_multiple: file.slow_start.overload_multiple,
+        overload_window: file.slow_start.overload_window.ms().max(MIN_SPAN),
         max_open_requests: max_open_requests(file.limits.descriptors),
         max_attempts: file.limits.attempts,
     }
@@ -130,11 +134,11 @@
 impl From<&Class> for RequestClass {
     fn from(class: &Class) -> Self {
         RequestClass {
-            latency_objective: class.aim.unwrap_or(class.deadline).ms(),
+            latency_objective: class.latency_objective.unwrap_or(class.deadline).ms(),
             deadline: class.deadline.ms(),
             objective_stretch: 0.0,
-            priority_weight: class.worth,
-            late_fraction: class.late_worth,
+            priority_weight: class.priority_weight,
+            late_fraction: class.late_fraction,
             idempotency: idempotency(class),
         }
     }
@@ -163,7 +167,7 @@
 impl From<Peers> for PeerAddresses {
     fn from(peers: Peers) -> Self {
         let addresses: Vec<_> = peers.addresses.into_iter().map(|address| address.0).collect();
-        PeerAddresses { listen: addresses[peers.me as usize], peers: addresses, all: None }
+        PeerAddresses { listen: addresses[peers.proxy_index as usize], peers: addresses, all: None }
     }
 }
 
@@ -180,7 +184,7 @@
             name: backend.label(),
             address: Some(backend.address.0),
             zone: backend.zone.clone(),
-            machine_class: backend.kind.clone(),
+            machine_class: backend.machine_class.clone(),
             cell: None,
             health: Health::Up,
             weight: Some(backend.weight),
--- a/crates/proxy/src/config/file/defaults.rs
+++ b/crates/proxy/src/config/file/defaults.rs
@@ -26,17 +26,17 @@
     "/".into()
 }
 
-/// The weight of a backend and the worth of a class.
+/// The weight of a backend and the priority weight of a class.
 pub fn one() -> f64 {
     1.0
 }
 
-/// The part of a class's worth that a late answer earns.
-pub fn late_worth() -> f64 {
+/// The fraction of a class's priority weight that a late response earns.
+pub fn late_fraction() -> f64 {
     0.5
 }
 
-/// The part of a class's worth that a request beyond its tenant's allowance has.
-pub fn over_allowance_worth() -> f64 {
+/// The fraction of a class's priority weight that a request beyond its tenant's quota has.
+pub fn over_quota_fraction() -> f64 {
     0.1
 }
--- a/crates/proxy/src/config/file/schema.rs
+++ b/crates/proxy/src/config/file/schema.rs
@@ -1,5 +1,6 @@
 //! The form of the file. The doc comments are shown to users: they are the descriptions in the JSON schema and in the
-//! reference page, and the names of the fields are the file's keys.
+//! reference page. A field's name is the file's key, unless the standard term is another: then `serde(rename)` has the
+//! key.
 
 use std::sync::LazyLock;
 
@@ -42,9 +43,9 @@
     #[serde(default = "defaults::tenant_header")]
     pub tenant_header: String,
     /// What a request beyond its tenant's allowance is still worth, as a part of its class's worth.
-    #[serde(default = "defaults::over_allowance_worth")]
+    #[serde(rename = "over_allowance_worth", default = "defaults::over_quota_fraction")]
     #[schemars(range(min = 0, max = 1))]
-    pub over_allowance_worth: f64,
+    pub over_quota_fraction: f64,
     /// The zone in which this proxy stands; backends of other zones count as further away.
     pub zone: Option<String>,
     /// Other proxies of the same backends.
@@ -58,8 +59,8 @@
     #[serde(default)]
     pub timeouts: Timeouts,
     /// How backends are treated that discovery says have just started.
-    #[serde(default)]
-    pub cold: SlowStart,
+    #[serde(rename = "cold", default)]
+    pub slow_start: SlowStart,
     /// What is written to standard error.
     #[serde(default)]
     pub logging: Logging,
@@ -76,7 +77,8 @@
     /// Its zone.
     pub zone: Option<String>,
     /// Its kind of machine: backends of one kind are taken to be about equally fast until measured.
-    pub kind: Option<String>,
+    #[serde(rename = "kind")]
+    pub machine_class: Option<String>,
     /// Its size compared with the others, in cores say.
     #[serde(default = "defaults::one")]
     #[schemars(range(min = 0.001, max = 1000))]
@@ -135,15 +137,16 @@
     /// A client gives up after this span, unless its `X-Timeout` header says less.
     pub deadline: Span,
     /// An answer within this span earns the full worth; the deadline if not given.
-    pub aim: Option<Span>,
+    #[serde(rename = "aim")]
+    pub latency_objective: Option<Span>,
     /// What an answer in time is worth, compared with other classes. Under overload the most worth is served.
-    #[serde(default = "defaults::one")]
+    #[serde(rename = "worth", default = "defaults::one")]
     #[schemars(range(min = 0.000001, max = 1000000))]
-    pub worth: f64,
+    pub priority_weight: f64,
     /// The part of the worth that an answer after the aim still earns.
-    #[serde(default = "defaults::late_worth")]
+    #[serde(rename = "late_worth", default = "defaults::late_fraction")]
     #[schemars(range(min = 0, max = 1))]
-    pub late_worth: f64,
+    pub late_fraction: f64,
     /// For keyed requests: which backends drop a repeat.
     #[serde(default)]
     pub scope: Scope,
@@ -160,8 +163,9 @@
     #[schemars(length(min = 1))]
     pub name: String,
     /// Requests a second, over all proxies, that count in full.
+    #[serde(rename = "per_second")]
     #[schemars(range(min = 0, max = 1000000000))]
-    pub per_second: f64,
+    pub quota_per_second: f64,
 }
 
 /// Proxies of the same backends tell each other by UDP what they hold.
@@ -172,7 +176,8 @@
     #[schemars(length(min = 1, max = 65536))]
     pub addresses: Vec<Address>,
     /// Which of them is this proxy's, counted from 0.
-    pub me: u32,
+    #[serde(rename = "me")]
+    pub proxy_index: u32,
 }
 
 /// The second address.
@@ -215,15 +220,19 @@
 #[schemars(rename = "Cold")]
 pub struct SlowStart {
     /// The part of its capacity that it has at once.
+    #[serde(rename = "capacity")]
     #[schemars(range(min = 0.01, max = 1))]
-    pub capacity: f64,
+    pub initial_capacity: f64,
     /// It has all of it after this span.
-    pub span: Span,
+    #[serde(rename = "span")]
+    pub window: Span,
     /// Sent more than this multiple of what it can do ...
+    #[serde(rename = "multiple")]
     #[schemars(range(min = 1, max = 1000))]
-    pub multiple: f64,
+    pub overload_multiple: f64,
     /// ... for this span, it falls over.
-    pub fall: Span,
+    #[serde(rename = "fall")]
+    pub overload_window: Span,
 }
 
 /// Logs.
@@ -255,7 +264,12 @@
 
 impl Default for SlowStart {
     fn default() -> Self {
-        SlowStart { capacity: 0.2, span: Span::from_secs(30), multiple: 3.0, fall: Span::from_secs(1) }
+        SlowStart {
+            initial_capacity: 0.2,
+            window: Span::from_secs(30),
+            overload_multiple: 3.0,
+            overload_window: Span::from_secs(1),
+        }
     }
 }
 
