Tests: what holds a stand-in's reply back is a latch

The stand-in backend's `Gate` opens once and lets waiting replies go, which the field calls a latch; `gate` stands for admission in the list of names. `Gate`, `gate` and `gate_copy` become `Latch`, `latch` and `latch_copy`, names and comments alone; no assertion is touched.

--- a/crates/cli/tests/bodies.rs
+++ b/crates/cli/tests/bodies.rs
@@ -15,11 +15,11 @@
     (discovery, proxy)
 }
 
-/// A backend that writes the first half of a long response, and the second once a gate opens.
-fn in_halves(gate: &Gate) -> Backend {
+/// A backend that writes the first half of a long response, and the second once a latch opens.
+fn in_halves(latch: &Latch) -> Backend {
     let response = ok(&"x".repeat(LONG_BODY));
     let (first, rest) = response.split_at(response.len() - LONG_BODY / 2);
-    Backend::new(Reply::InParts(first.into(), gate.clone(), rest.into()))
+    Backend::new(Reply::InParts(first.into(), latch.clone(), rest.into()))
 }
 
 #[test]
@@ -51,9 +51,9 @@
 
 #[test]
 fn streamed_response_may_outlast_its_deadline() {
-    let gate = Gate::default();
-    let never = Gate::default();
-    let halves = in_halves(&gate);
+    let latch = Latch::default();
+    let never = Latch::default();
+    let halves = in_halves(&latch);
     let silent = Backend::new(Reply::Delayed(never.clone(), ok("")));
     let (discovery, proxy) = proxy_with_setup(&[&halves], Setup { deadline_ms: 300, ..Setup::default() });
     let mut client = proxy.client();
@@ -68,7 +68,7 @@
     wait_for("the new list", || proxy.stat("/members") == 2);
     let other = proxy.client().request(&submit("r-2", "0.3", "x")).expect("a response");
     assert_eq!((other.status(), silent.requests().len()), (502, 1));
-    gate.open();
+    latch.open();
     assert!(client.read(LONG_BODY / 2).iter().all(|byte| *byte == b'x'));
     wait_for("its end", || proxy.stat("/completed/page") == 1);
     assert_eq!(proxy.stat("/pending"), 0);
@@ -102,15 +102,15 @@
 
 #[test]
 fn client_close_ends_streamed_response_at_backend() {
-    let gate = Gate::default();
-    let halves = in_halves(&gate);
+    let latch = Latch::default();
+    let halves = in_halves(&latch);
     let (_discovery, proxy) = proxy_with_setup(&[&halves], Setup::default());
     let mut client = proxy.client();
     client.send(&page("r-1"));
     client.read(LONG_BODY / 2);
     drop(client);
     wait_for("its end", || proxy.stat("/pending") == 0);
-    gate.open();
+    latch.open();
     wait_for("the connection's end", || halves.closed() == 1);
     assert_eq!(proxy.stat("/completed/page") + proxy.stat("/failed/page"), 0);
 }
--- a/crates/cli/tests/cancellation.rs
+++ b/crates/cli/tests/cancellation.rs
@@ -29,8 +29,8 @@
 #[test]
 fn cancelled_in_the_balancer_queue() {
     for cancellation in CANCELLATIONS {
-        let gate = Gate::default();
-        let backend = delaying_backend(&gate, "r-held");
+        let latch = Latch::default();
+        let backend = delaying_backend(&latch, "r-held");
         let (_discovery, proxy) = start_proxy_with_long_timeouts(&[host("s-0", backend.address, "up", 0)]);
         let mut delayed = fill_slots(&proxy);
         assert!(backend.requests().len() < 12, "the proxy queues");
@@ -39,7 +39,7 @@
         wait_for_pending(&proxy, 13);
         let _open = cancellation.cancel(client);
         wait_for_pending(&proxy, 12);
-        gate.open();
+        latch.open();
         delayed
             .iter_mut()
             .for_each(|client| assert_eq!(client.response().expect("a response").status(), 200));
@@ -54,8 +54,8 @@
     // More of a body than is read ahead, which nobody takes as long as it waits. A close behind more than the system
     // holds for the proxy can't be seen by anyone; a reset can.
     for (cancellation, sent) in [(Cancellation::Close, 180_000), (Cancellation::Reset, 1_000_000)] {
-        let gate = Gate::default();
-        let backend = delaying_backend(&gate, "r-held");
+        let latch = Latch::default();
+        let backend = delaying_backend(&latch, "r-held");
         let (_discovery, proxy) = start_proxy_with_long_timeouts(&[host("s-0", backend.address, "up", 0)]);
         let mut delayed = fill_slots(&proxy);
         let mut client = proxy.client();
@@ -65,7 +65,7 @@
         wait_for_pending(&proxy, 13);
         let _open = cancellation.cancel(client);
         wait_for_pending(&proxy, 12);
-        gate.open();
+        latch.open();
         delayed
             .iter_mut()
             .for_each(|client| assert_eq!(client.response().expect("a response").status(), 200));
@@ -97,8 +97,8 @@
 #[test]
 fn cancelled_as_a_slot_becomes_free() {
     for cancellation in CANCELLATIONS {
-        let gate = Gate::default();
-        let backend = delaying_backend(&gate, "r-held");
+        let latch = Latch::default();
+        let backend = delaying_backend(&latch, "r-held");
         let (_discovery, proxy) = start_proxy_with_long_timeouts(&[host("s-0", backend.address, "up", 0)]);
         let mut delayed = fill_slots(&proxy);
         let mut client = proxy.client();
@@ -106,7 +106,7 @@
         wait_for_pending(&proxy, 13);
         proxy.pause();
         let out = backend.requests().len(); // more may be on their way
-        gate.open();
+        latch.open();
         wait_for("the answers", || backend.responses() >= out);
         let _open = cancellation.cancel(client);
         proxy.resume();
@@ -122,14 +122,14 @@
 #[test]
 fn pipelined_request_cancelled_as_the_first_is_answered() {
     for cancellation in CANCELLATIONS {
-        let gate = Gate::default();
-        let backend = delaying_backend(&gate, "r-held");
+        let latch = Latch::default();
+        let backend = delaying_backend(&latch, "r-held");
         let (_discovery, proxy) = start_proxy_with_long_timeouts(&[host("s-0", backend.address, "up", 0)]);
         let mut client = proxy.client();
         client.send(&(submit("r-held", "60", "x") + &submit("r-cancelled", "60", "x")));
         wait_for("the first", || backend.requests().len() == 1);
         proxy.pause();
-        gate.open();
+        latch.open();
         wait_for("its response", || backend.responses() == 1);
         let _open = cancellation.cancel(client);
         proxy.resume();
--- a/crates/cli/tests/cancellation_while_connecting.rs
+++ b/crates/cli/tests/cancellation_while_connecting.rs
@@ -22,10 +22,10 @@
 #[test]
 fn cancelled_before_a_retry() {
     for cancellation in CANCELLATIONS {
-        let gate = Gate::default();
-        let gate_copy = gate.clone();
+        let latch = Latch::default();
+        let latch_copy = latch.clone();
         let busy = empty("503 Busy\r\nX-Not-Processed: 1");
-        let first = Backend::with(move |_| Reply::Delayed(gate_copy.clone(), busy.clone()));
+        let first = Backend::with(move |_| Reply::Delayed(latch_copy.clone(), busy.clone()));
         let second = Backend::new(Reply::Write(ok("")));
         let (discovery, proxy) = start_proxy_with_long_timeouts(&[host("s-0", first.address, "up", 0)]);
         let mut client = proxy.client();
@@ -35,7 +35,7 @@
         wait_for("the second backend", || proxy.stat("/members") == 2);
         let _open = cancellation.cancel(client);
         wait_for_pending(&proxy, 0);
-        gate.open();
+        latch.open();
         wait_for("the attempt's end", || proxy.log_contains("attempt failed"));
         assert_eq!(proxy.client().request(&page("r-last")).expect("a response").status(), 200);
         assert!(!request_ids(&second).contains(&"r-cancelled".into()), "{cancellation:?}");
@@ -65,8 +65,8 @@
     for (cancellation, at_once) in
         CANCELLATIONS.into_iter().flat_map(|cancellation| [(cancellation, false), (cancellation, true)])
     {
-        let gate = Gate::default();
-        let busy = Reply::Delayed(gate.clone(), empty("503 Busy\r\nX-Not-Processed: 1"));
+        let latch = Latch::default();
+        let busy = Reply::Delayed(latch.clone(), empty("503 Busy\r\nX-Not-Processed: 1"));
         let first = Backend::with(move |_| busy.clone());
         let (slow, full) = full_listener();
         let (discovery, proxy) = start_proxy_with_long_timeouts(&[host("s-0", first.address, "up", 0)]);
@@ -76,7 +76,7 @@
         let address = slow.local_addr().expect("its own");
         discovery.publish(&list(2, true, &[host("s-1", address, "up", 0)]));
         wait_for("the second backend", || proxy.stat("/members") == 1);
-        gate.open();
+        latch.open();
         wait_for("the second attempt", || proxy.dials() == 2);
         let connection = if at_once {
             proxy.pause();
@@ -122,8 +122,8 @@
 #[test]
 fn cancelled_while_waiting_for_a_retry() {
     for cancellation in CANCELLATIONS {
-        let gate = Gate::default();
-        let busy = Reply::Delayed(gate.clone(), empty("503 Busy\r\nX-Not-Processed: 1"));
+        let latch = Latch::default();
+        let busy = Reply::Delayed(latch.clone(), empty("503 Busy\r\nX-Not-Processed: 1"));
         let first = Backend::with(move |_| busy.clone());
         let second = Backend::new(Reply::Write(ok("")));
         let (discovery, proxy) = start_proxy_with_long_timeouts(&[host("s-0", first.address, "up", 0)]);
@@ -133,7 +133,7 @@
         discovery.publish(&list(2, false, &[host("s-0", first.address, "draining", 0)]));
         wait_for("the drain", || proxy.stat("/members_unavailable") == 1);
         assert_eq!(first.closed(), 0, "the attempt is out still");
-        gate.open();
+        latch.open();
         wait_for("the attempt's end", || proxy.log_contains("attempt failed"));
         wait_for("it to wait", || proxy.waiting() == 1);
         assert_eq!(proxy.stat("/pending"), 1);
--- a/crates/cli/tests/descriptors.rs
+++ b/crates/cli/tests/descriptors.rs
@@ -21,8 +21,8 @@
 
 #[test]
 fn clients_and_upstreams_share_the_descriptor_limit() {
-    let gate = Gate::default();
-    let backend = Backend::new(Reply::Delayed(gate.clone(), ok("")));
+    let latch = Latch::default();
+    let backend = Backend::new(Reply::Delayed(latch.clone(), ok("")));
     let discovery = Discovery::new();
     discovery.publish(&list_with_many_names(&backend));
     let limit = 256;
@@ -45,7 +45,7 @@
     while Instant::now() < end {
         max_seen = max_seen.max(proxy.descriptor_count());
     }
-    gate.open();
+    latch.open();
     eprintln!("descriptors: {max_seen} of {limit}");
     assert!(max_seen <= limit, "{max_seen} of {limit}");
 }
--- a/crates/cli/tests/forwarding.rs
+++ b/crates/cli/tests/forwarding.rs
@@ -42,15 +42,15 @@
 
 #[test]
 fn open_request_id_is_rejected_until_its_end() {
-    let gate = Gate::default();
-    let gate_copy = gate.clone();
-    let backend = Backend::with(move |_| Reply::Delayed(gate_copy.clone(), ok("first")));
+    let latch = Latch::default();
+    let latch_copy = latch.clone();
+    let backend = Backend::with(move |_| Reply::Delayed(latch_copy.clone(), ok("first")));
     let (_discovery, proxy) = proxy_with(&[&backend]);
     let mut first = proxy.client();
     first.send(&submit("r-1", "5", "x"));
     wait_for("the first", || backend.requests().len() == 1);
     assert_eq!(status(proxy.client().request(&submit("r-1", "5", "y"))), 409);
-    gate.open();
+    latch.open();
     assert_eq!(first.response().expect("a response").text(), "first");
     assert_eq!(backend.requests().len(), 1);
     assert_eq!(status(proxy.client().request(&submit("r-1", "5", "z"))), 200);
@@ -78,10 +78,10 @@
 
 #[test]
 fn late_response_is_discarded() {
-    let gate = Gate::default();
-    let gate_copy = gate.clone();
+    let latch = Latch::default();
+    let latch_copy = latch.clone();
     let backend = Backend::with(move |request| match request.id() {
-        "r-held" => Reply::Delayed(gate_copy.clone(), ok("late")),
+        "r-held" => Reply::Delayed(latch_copy.clone(), ok("late")),
         _ => Reply::Write(ok("prompt")),
     });
     let (_discovery, proxy) = proxy_with(&[&backend]);
@@ -89,7 +89,7 @@
     assert_eq!(status(client.request(&submit("r-held", "0.5", "x"))), 502);
     wait_for("the request", || backend.requests().len() == 1);
     std::thread::sleep(Duration::from_millis(100)); // the failure goes out a little before the attempt ends
-    gate.open();
+    latch.open();
     // Its connection is not used again, and the client gets the next response and no other.
     assert_eq!(client.request(&page("r-next")).expect("a response").text(), "prompt");
     wait_for("the connection's end", || backend.closed() == 1);
@@ -97,9 +97,9 @@
 
 #[test]
 fn cancelled_requests_are_not_sent() {
-    let gate = Gate::default();
-    let gate_copy = gate.clone();
-    let backend = Backend::with(move |_| Reply::Delayed(gate_copy.clone(), ok("")));
+    let latch = Latch::default();
+    let latch_copy = latch.clone();
+    let backend = Backend::with(move |_| Reply::Delayed(latch_copy.clone(), ok("")));
     let discovery = Discovery::new();
     discovery.publish(&all_up(&[&backend]));
     let proxy = Proxy::start_ready(&discovery, &Setup { has_admin: true, ..Setup::default() });
@@ -121,7 +121,7 @@
         backend.requests().len() == before
     });
     assert!(before < 12, "the proxy queues");
-    gate.open();
+    latch.open();
     let mut last = proxy.client();
     assert_eq!(status(last.request(&submit("r-last", "5", "x"))), 200);
     assert_eq!(backend.requests().len(), before + 1);
--- a/crates/cli/tests/idempotency_window.rs
+++ b/crates/cli/tests/idempotency_window.rs
@@ -31,10 +31,10 @@
 
 impl PendingRetry {
     fn new() -> Self {
-        let gate = Gate::default();
-        let gate_copy = gate.clone();
+        let latch = Latch::default();
+        let latch_copy = latch.clone();
         let first =
-            Backend::with(move |_| Reply::InParts(String::new(), gate_copy.clone(), "no HTTP".into()));
+            Backend::with(move |_| Reply::InParts(String::new(), latch_copy.clone(), "no HTTP".into()));
         let (second, filler) = full_listener();
         let discovery = Discovery::new();
         discovery.publish(&list(1, true, &[host("s-0", first.address, "up", 0)]));
@@ -51,7 +51,7 @@
         discovery.publish(&list(2, false, &[host("s-1", address, "up", 0)]));
         wait_for("two members", || proxy.stat("/members") == 2);
         let dials = proxy.dials();
-        gate.open();
+        latch.open();
         wait_for("a second dial", || proxy.dials() > dials);
         PendingRetry { client, first_at, second, filler, _proxy: proxy, _discovery: discovery }
     }
--- a/crates/cli/tests/operations.rs
+++ b/crates/cli/tests/operations.rs
@@ -7,10 +7,10 @@
 
 #[test]
 fn statistics_count_each_request_once() {
-    let gate = Gate::default();
-    let gate_copy = gate.clone();
+    let latch = Latch::default();
+    let latch_copy = latch.clone();
     let backend = Backend::with(move |request| match request.id() {
-        "r-held" => Reply::Delayed(gate_copy.clone(), ok("")),
+        "r-held" => Reply::Delayed(latch_copy.clone(), ok("")),
         "r-bad" => Reply::Write(empty("500 Oops")),
         _ => Reply::Write(ok("")),
     });
@@ -29,7 +29,7 @@
     assert_eq!(proxy.stat("/rejected/booking"), 0);
     wait_for("three attempts", || proxy.stat("/upstream_requests") == 3);
     wait_for("one backend", || proxy.stat("/members") == 1);
-    gate.open();
+    latch.open();
     assert_eq!(status(waiting.response()), 200);
     wait_for("its end", || proxy.stat("/pending") == 0);
     assert_eq!(proxy.stat("/completed/page"), 2);
@@ -136,10 +136,10 @@
 
 #[test]
 fn reload_changes_classes_and_keeps_counts() {
-    let gate = Gate::default();
-    let gate_copy = gate.clone();
+    let latch = Latch::default();
+    let latch_copy = latch.clone();
     let backend = Backend::with(move |request| match request.id() {
-        "r-held" => Reply::Delayed(gate_copy.clone(), ok("held")),
+        "r-held" => Reply::Delayed(latch_copy.clone(), ok("held")),
         _ => Reply::Write(ok("")),
     });
     let discovery = Discovery::new();
@@ -163,7 +163,7 @@
         assert_eq!(status(proxy.client().request(&page("r-4").replace("/page", path))), 200, "{path}");
     }
     assert_eq!(status(proxy.client().request(&submit("r-5", "5", "x"))), 200);
-    gate.open();
+    latch.open();
     assert_eq!(open.response().expect("a response").text(), "held");
     wait_for("its end", || proxy.stat("/completed/page") == 2);
     let counts = ["submit", "fresh", "booking"].map(|class| proxy.stat(&format!("/completed/{class}")));
--- a/crates/cli/tests/process.rs
+++ b/crates/cli/tests/process.rs
@@ -40,10 +40,10 @@
 
 #[test]
 fn sigterm_answers_open_and_new_requests() {
-    let gate = Gate::default();
-    let gate_copy = gate.clone();
+    let latch = Latch::default();
+    let latch_copy = latch.clone();
     let backend = Backend::with(move |request| match request.id() {
-        "r-held" => Reply::Delayed(gate_copy.clone(), ok("held")),
+        "r-held" => Reply::Delayed(latch_copy.clone(), ok("held")),
         _ => Reply::Write(ok("prompt")),
     });
     let (_discovery, mut proxy) = proxy_with(&[&backend]);
@@ -58,7 +58,7 @@
     let response = fresh.request(&page("r-2")).expect("a response");
     assert_eq!((response.status(), response.header("connection")), (200, Some("close")));
     assert!(idle.is_closed(), "an idle connection closes");
-    gate.open();
+    latch.open();
     let response = busy.response().expect("a response");
     assert_eq!((response.status(), response.header("connection")), (200, Some("close")));
     assert!(proxy.wait().success());
--- a/crates/cli/tests/remaining_time.rs
+++ b/crates/cli/tests/remaining_time.rs
@@ -10,11 +10,11 @@
 /// More than is read of a body before its request is queued, and less than the system holds of one.
 const LONG_BODY: usize = 200 << 10;
 
-/// A proxy with one backend, which delays requests named `r-held` until the gate opens.
-fn proxy_with_delays(gate: &Gate) -> (Backend, Discovery, Proxy) {
-    let gate = gate.clone();
+/// A proxy with one backend, which delays requests named `r-held` until the latch opens.
+fn proxy_with_delays(latch: &Latch) -> (Backend, Discovery, Proxy) {
+    let latch = latch.clone();
     let backend = Backend::with(move |request| match request.id().starts_with("r-held") {
-        true => Reply::Delayed(gate.clone(), ok("held")),
+        true => Reply::Delayed(latch.clone(), ok("held")),
         false => Reply::Write(ok("prompt")),
     });
     let discovery = Discovery::new();
@@ -45,8 +45,8 @@
 
 #[test]
 fn waiting_request_with_long_body_is_rejected_in_time() {
-    let gate = Gate::default();
-    let (backend, _discovery, proxy) = proxy_with_delays(&gate);
+    let latch = Latch::default();
+    let (backend, _discovery, proxy) = proxy_with_delays(&latch);
     let _held = fill_slots(&proxy);
     let mut client = proxy.client();
     client.send(&submit("r-long", "1", &"x".repeat(LONG_BODY)));
@@ -56,20 +56,20 @@
     assert!(response.header("retry-after").is_some());
     assert!(sent_at.elapsed() < Duration::from_secs(10), "{:?}", sent_at.elapsed());
     assert!(backend.requests().iter().all(|request| request.id() != "r-long"));
-    gate.open();
+    latch.open();
 }
 
 #[test]
 fn waiting_request_with_long_body_sends_its_remaining_time() {
-    let gate = Gate::default();
-    let (backend, _discovery, proxy) = proxy_with_delays(&gate);
+    let latch = Latch::default();
+    let (backend, _discovery, proxy) = proxy_with_delays(&latch);
     let _held = fill_slots(&proxy);
     let mut client = proxy.client();
     client.send(&submit("r-long", "20", &"x".repeat(LONG_BODY)));
     let sent_at = Instant::now();
     std::thread::sleep(Duration::from_millis(800));
     let waited = sent_at.elapsed().as_secs_f64();
-    gate.open();
+    latch.open();
     assert_eq!(client.response().expect("a response").status(), 200);
     let remaining = remaining_time(&backend, "r-long");
     assert!(remaining <= 20.0 - waited + TOLERANCE, "{remaining} s after {waited} s");
@@ -77,15 +77,15 @@
 
 #[test]
 fn pipelined_request_sends_its_remaining_time() {
-    let gate = Gate::default();
-    let (backend, _discovery, proxy) = proxy_with_delays(&gate);
+    let latch = Latch::default();
+    let (backend, _discovery, proxy) = proxy_with_delays(&latch);
     let mut client = proxy.client();
     client.send(&(submit("r-held", "20", "x") + &submit("r-behind", "20", "x")));
     let sent_at = Instant::now();
     wait_for("the first request", || backend.requests().len() == 1);
     std::thread::sleep(Duration::from_millis(800));
     let waited = sent_at.elapsed().as_secs_f64();
-    gate.open();
+    latch.open();
     assert_eq!(client.response().expect("a response").text(), "held");
     assert_eq!(client.response().expect("a response").text(), "prompt");
     let remaining = remaining_time(&backend, "r-behind");
--- a/crates/cli/tests/shutdown.rs
+++ b/crates/cli/tests/shutdown.rs
@@ -9,7 +9,7 @@
 /// Starts a proxy whose longest deadline is `deadline` with a backend that never answers; terminates it with one request
 /// at the backend and others that wait, and checks the answers. SIGKILL would come after `kill`.
 fn terminate_with_hanging_backend(deadline: u32, kill: Duration) {
-    let never = Gate::default();
+    let never = Latch::default();
     let backend = Backend::new(Reply::Delayed(never.clone(), ok("")));
     let discovery = Discovery::new();
     discovery.publish(&all_up(&[&backend]));
--- a/crates/cli/tests/sockets/backend.rs
+++ b/crates/cli/tests/sockets/backend.rs
@@ -16,23 +16,23 @@
     Write(String),
     /// Writes these bytes and closes.
     WriteAndClose(String),
-    /// Waits until the gate opens, then writes these bytes.
-    Delayed(Gate, String),
-    /// Writes the first bytes, and the others once the gate opens.
-    InParts(String, Gate, String),
+    /// Waits until the latch opens, then writes these bytes.
+    Delayed(Latch, String),
+    /// Writes the first bytes, and the others once the latch opens.
+    InParts(String, Latch, String),
 }
 
-/// Something that opens once.
+/// A latch that is opened once; replies that wait for it are written then.
 #[derive(Clone, Default)]
-pub struct Gate(Arc<AtomicUsize>);
+pub struct Latch(Arc<AtomicUsize>);
 
-impl Gate {
+impl Latch {
     pub fn open(&self) {
         self.0.store(1, Ordering::SeqCst);
     }
 
     fn wait(&self) {
-        wait_for("a gate", || self.0.load(Ordering::SeqCst) == 1);
+        wait_for("a latch", || self.0.load(Ordering::SeqCst) == 1);
     }
 }
 
@@ -121,12 +121,12 @@
                 let _ = stream.shutdown(Shutdown::Both);
                 return;
             }
-            Reply::InParts(first, gate, rest) => stream.write_all(first.as_bytes()).and_then(|()| {
-                gate.wait();
+            Reply::InParts(first, latch, rest) => stream.write_all(first.as_bytes()).and_then(|()| {
+                latch.wait();
                 stream.write_all(rest.as_bytes())
             }),
-            Reply::Delayed(gate, text) => {
-                gate.wait();
+            Reply::Delayed(latch, text) => {
+                latch.wait();
                 stream.write_all(text.as_bytes())
             }
         };
--- a/crates/cli/tests/sockets/cancellation.rs
+++ b/crates/cli/tests/sockets/cancellation.rs
@@ -3,7 +3,7 @@
 use std::io::Read;
 use std::net::TcpStream;
 
-use super::backend::{Backend, Gate, Reply, ok};
+use super::backend::{Backend, Latch, Reply, ok};
 use super::client::{Client, page, submit};
 use super::discovery::{Discovery, list};
 use super::listener::wait_for_close;
@@ -84,11 +84,11 @@
     wait_for("the count of open requests", || proxy.stat("/pending") == count);
 }
 
-/// A backend that delays requests with this prefix until the gate opens, and answers all others.
-pub fn delaying_backend(gate: &Gate, prefix: &'static str) -> Backend {
-    let gate = gate.clone();
+/// A backend that delays requests with this prefix until the latch opens, and answers all others.
+pub fn delaying_backend(latch: &Latch, prefix: &'static str) -> Backend {
+    let latch = latch.clone();
     Backend::with(move |request| match request.id().starts_with(prefix) {
-        true => Reply::Delayed(gate.clone(), ok("held")),
+        true => Reply::Delayed(latch.clone(), ok("held")),
         false => Reply::Write(ok("prompt")),
     })
 }
--- a/crates/cli/tests/sockets/mod.rs
+++ b/crates/cli/tests/sockets/mod.rs
@@ -17,7 +17,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-pub use backend::{Backend, Gate, Reply, empty, ok};
+pub use backend::{Backend, Latch, Reply, empty, ok};
 pub use client::{Client, page, submit};
 pub use discovery::{Discovery, all_up, host, list};
 pub use listener::{RefusingAddress, accept_connecting, fill_accept_queue, full_listener, wait_for_close};
