--- a/crates/core/src/discovery/subscription.rs
+++ b/crates/core/src/discovery/subscription.rs
@@ -97,7 +97,7 @@
         self.phase.call()
     }
 
-    /// The version of the list that is held.
+    /// The version of the current list.
     pub fn version(&self) -> Option<u64> {
         self.version
     }
@@ -133,19 +133,19 @@
     /// What becomes of an update; changes nothing.
     pub fn admission(&self, call: CallId, version: u64, complete: bool) -> Admission {
         if let Some(former) = self.former.filter(|former| former.call == call) {
-            let is_newer = former.version.is_none_or(|held| version > held);
+            let is_newer = former.version.is_none_or(|current| version > current);
             return if is_newer { Admission::Apply } else { Admission::Ignore };
         }
         if self.call() != Some(call) {
             return Admission::Ignore;
         }
-        let Some(held) = self.version else {
+        let Some(current) = self.version else {
             return if complete { Admission::Apply } else { Admission::Reject };
         };
-        if version == held && !complete {
+        if version == current && !complete {
             return Admission::Unchanged;
         }
-        if version >= held {
+        if version >= current {
             return Admission::Apply;
         }
         // A lower version: on an open watch it is outdated. At the start of one it means that discovery has started its
@@ -157,8 +157,8 @@
         }
     }
 
-    /// Whether a heartbeat of a call says that what is held is still the latest. As the first line of an answer it says
-    /// nothing of what has changed before; if no more comes of the call, the complete list is to be asked for.
+    /// Whether a heartbeat of a call says that the current list is still the latest. As the first line of an answer it
+    /// says nothing of what has changed before; if no more comes of the call, the complete list is to be asked for.
     pub fn confirms(&mut self, call: CallId) -> bool {
         if self.former.is_some_and(|former| former.call == call) {
             return true;
--- a/crates/proxy/src/classes.rs
+++ b/crates/proxy/src/classes.rs
@@ -1,5 +1,5 @@
 //! The request classes on offer, over reloads. A class is a name with its rules; the balancer knows it by the index of its
-//! entry, and an entry keeps its rules for as long as a request holds it.
+//! entry, and an entry keeps its rules for as long as a request uses it.
 
 use std::rc::Rc;
 
@@ -10,21 +10,21 @@
 
 use crate::config::{Dialect, Plain, Route};
 
-/// Places that open requests may hold of earlier configurations. The classes of the running configuration and of the new
-/// one have theirs besides: a reload takes any file that a start takes, even if no class stays as it was.
-const MAX_HELD: usize = 1024;
+/// Entries of earlier configurations that open requests may keep in use. The classes of the running configuration and
+/// of the new one have theirs besides: a reload takes any file that a start takes, even if no class stays as it was.
+const MAX_FORMER_ENTRIES: usize = 1024;
 
-/// Open requests hold more classes of earlier configurations than there are entries for.
+/// Open requests use more classes of earlier configurations than there are entries for.
 #[derive(Debug, thiserror::Error)]
-#[error("open requests hold over {MAX_HELD} classes of earlier files")]
-pub struct TooManyHeldClasses;
+#[error("open requests hold over {MAX_FORMER_ENTRIES} classes of earlier files")]
+pub struct TooManyFormerClasses;
 
-/// Held by each request of a class: the class's entry is not reused meanwhile.
+/// Each request of a class has one: the class's entry is not reused meanwhile.
 #[derive(Clone, Default)]
 pub struct ClassLease(Rc<()>);
 
 impl ClassLease {
-    fn is_held(&self) -> bool {
+    fn is_in_use(&self) -> bool {
         Rc::strong_count(&self.0) > 1
     }
 }
@@ -49,7 +49,7 @@
 
     /// Whether it can be reused for another class.
     fn is_free(&self) -> bool {
-        !self.is_offered && !self.lease.is_held()
+        !self.is_offered && !self.lease.is_in_use()
     }
 }
 
@@ -113,9 +113,9 @@
     /// Offers the classes of these settings and no others; returns the settings with the entries as classes.
     pub fn reconfigure(
         &mut self, names: &Names, mut settings: Settings, dialect: &Dialect,
-    ) -> Result<Reconfiguration, TooManyHeldClasses> {
-        if !self.has_room_for(names, &settings) {
-            return Err(TooManyHeldClasses);
+    ) -> Result<Reconfiguration, TooManyFormerClasses> {
+        if !self.has_capacity_for(names, &settings) {
+            return Err(TooManyFormerClasses);
         }
         let inherits_from = self.replace_classes(names, &settings.classes);
         self.tenants.clone_from(&names.tenants);
@@ -128,14 +128,14 @@
         })
     }
 
-    fn has_room_for(&self, names: &Names, settings: &Settings) -> bool {
-        let is_kept = |entry: &&ClassEntry| {
+    fn has_capacity_for(&self, names: &Names, settings: &Settings) -> bool {
+        let is_unchanged = |entry: &&ClassEntry| {
             let mut classes = names.classes.iter().zip(&settings.classes);
             classes.any(|(name, rules)| entry.is_same(name, rules))
         };
-        let kept = self.entries.iter().filter(is_kept).count().min(settings.classes.len());
-        let added = settings.classes.len() - kept;
-        let max_entries = MAX_HELD + self.offered().count() + settings.classes.len();
+        let unchanged = self.entries.iter().filter(is_unchanged).count().min(settings.classes.len());
+        let added = settings.classes.len() - unchanged;
+        let max_entries = MAX_FORMER_ENTRIES + self.offered().count() + settings.classes.len();
         let free = self.entries.iter().filter(|entry| entry.is_free()).count();
         self.entries.len() + added <= max_entries + free
     }
--- a/crates/proxy/src/classes/tests.rs
+++ b/crates/proxy/src/classes/tests.rs
@@ -17,7 +17,7 @@
 }
 
 #[test]
-fn entry_keeps_its_rules_while_a_request_holds_it() {
+fn entry_keeps_its_rules_while_a_request_uses_it() {
     let (settings, names) = parsed(&[("a", 100.0), ("b", 200.0)]);
     let mut classes = Classes::new(&names, &settings.classes, &Dialect::Platform);
     let open = classes.find("a").expect("on offer");
@@ -56,20 +56,20 @@
 }
 
 #[test]
-fn reload_with_too_many_held_classes_changes_nothing() {
+fn reload_with_too_many_former_classes_changes_nothing() {
     let (settings, names) = parsed(&[("a", 100.0)]);
     let mut classes = Classes::new(&names, &settings.classes, &Dialect::Platform);
-    let many: Vec<String> = (0..MAX_HELD).map(|n| format!("c{n}")).collect();
+    let many: Vec<String> = (0..MAX_FORMER_ENTRIES).map(|n| format!("c{n}")).collect();
     let with = |deadline: f64| -> Vec<(&str, f64)> { many.iter().map(|n| (n.as_str(), deadline)).collect() };
-    let mut held = Vec::new();
+    let mut open = Vec::new();
     for deadline in [1.0, 2.0, 3.0] {
         reconfigured(&mut classes, &with(deadline));
-        held.push(many.iter().map(|n| classes.find(n).expect("on offer")).collect::<Vec<_>>());
+        open.push(many.iter().map(|n| classes.find(n).expect("on offer")).collect::<Vec<_>>());
     }
     let (settings, names) = parsed(&with(4.0));
     assert!(classes.reconfigure(&names, settings.clone(), &Dialect::Platform).is_err());
     assert_eq!(classes.find("c0").expect("on offer").rules.deadline, 3.0);
-    held.remove(0);
+    open.remove(0);
     classes.reconfigure(&names, settings, &Dialect::Platform).expect("the first ones are held no more");
     assert_eq!(classes.find("c0").expect("on offer").rules.deadline, 4.0);
 }
--- a/crates/proxy/src/config/fault.rs
+++ b/crates/proxy/src/config/fault.rs
@@ -63,11 +63,11 @@
     /// Parses a TOML text as far as it can be parsed; the rest is reported as faults.
     pub fn read(text: &'a str) -> (Self, Value, Vec<Fault>) {
         let (table, errors) = DeTable::parse_recoverable(text);
-        let mut places = Text { text, keys: HashMap::new(), values: HashMap::new() };
-        let value = places.table("", table.get_ref());
+        let mut parsed = Text { text, keys: HashMap::new(), values: HashMap::new() };
+        let value = parsed.table("", table.get_ref());
         let faults =
-            errors.iter().map(|error| places.fault(error.span().unwrap_or(0..0), error.message())).collect();
-        (places, value, faults)
+            errors.iter().map(|error| parsed.fault(error.span().unwrap_or(0..0), error.message())).collect();
+        (parsed, value, faults)
     }
 
     fn table(&mut self, pointer: &str, table: &DeTable) -> Value {
--- a/crates/proxy/src/metrics/discovery.rs
+++ b/crates/proxy/src/metrics/discovery.rs
@@ -4,7 +4,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
-use super::labels::{ByStanding, register_by_label};
+use super::labels::{ByStatus, register_by_label};
 
 /// Metrics of the endpoint list.
 pub struct DiscoveryMetrics {
@@ -17,7 +17,7 @@
     pub fn register(registry: &mut Registry) -> Self {
         let names = EndpointStatus::ALL.map(EndpointStatus::name);
         let help = "Listed backends, by how they are treated now";
-        let endpoints = register_by_label::<ByStanding, Gauge, _>(registry, "members", help, names);
+        let endpoints = register_by_label::<ByStatus, Gauge, _>(registry, "members", help, names);
         let list_valid = Gauge::default();
         let help = "Whether requests may be sent by the server list that is held: 1, or 0 while it is stale";
         registry.register("list_valid", help, list_valid.clone());
--- a/crates/proxy/src/metrics/labels.rs
+++ b/crates/proxy/src/metrics/labels.rs
@@ -64,7 +64,7 @@
     /// The label of attempts that have ended.
     ByOutcome { outcome }
     /// The label of listed endpoints.
-    ByStanding { standing }
+    ByStatus { standing }
     /// The label of decisions.
     ByChoice { choice }
     /// The label of connections.
--- a/crates/proxy/src/server/reload.rs
+++ b/crates/proxy/src/server/reload.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 use tracing::{info, warn};
 
-use crate::classes::{Classes, TooManyHeldClasses};
+use crate::classes::{Classes, TooManyFormerClasses};
 use crate::config::{self, Config, Faults, Origin, Source};
 use crate::inbox::{Inbox, Input, Reconfigured};
 use crate::metrics::Metrics;
@@ -27,7 +27,7 @@
     SourceChanged,
     /// There is no place for the new classes.
     #[error(transparent)]
-    Classes(#[from] TooManyHeldClasses),
+    Classes(#[from] TooManyFormerClasses),
 }
 
 /// What a reload reads and changes.
--- a/crates/simulator/src/commands/mod.rs
+++ b/crates/simulator/src/commands/mod.rs
@@ -1,11 +1,11 @@
 //! The subcommands, one a file.
 
 pub mod baselines;
-pub mod cold;
 pub mod compare;
 pub mod reconnect;
 pub mod run;
 mod simulations;
+pub mod slow_start;
 
 use leadrelay_simulator::ScenarioError;
 use leadrelay_simulator::adapter::AdapterError;
--- a/crates/simulator/src/main.rs
+++ b/crates/simulator/src/main.rs
@@ -35,7 +35,8 @@
     /// Break all watches of fleets at once and report when every proxy has its list again
     Reconnect(commands::reconnect::Arguments),
     /// Report how close backends in slow start come to an overload, by proxies, lost gossip and restarts
-    Cold(commands::cold::Arguments),
+    #[command(name = "cold")]
+    SlowStart(commands::slow_start::Arguments),
 }
 
 /// Exit code for wrong usage or a scenario that can't be used.
@@ -49,7 +50,7 @@
         Command::Baselines(arguments) => commands::baselines::execute(&arguments),
         Command::Compare(arguments) => commands::compare::execute(&arguments),
         Command::Reconnect(arguments) => commands::reconnect::execute(&arguments),
-        Command::Cold(arguments) => commands::cold::execute(&arguments),
+        Command::SlowStart(arguments) => commands::slow_start::execute(&arguments),
     };
     match verdict {
         Ok(Verdict::Passed) => ExitCode::SUCCESS,
