Tests: names of the older house style

core: heard_at becomes received_at, World (a random source of events) Simulation, `cold` slow_start_sends and in_slow_start, staying_count active_count, spent not_replayable, patient classes. Program: guards that keep a stand-in alive are `_guard`, datagrams that the system has queued `queued`. Names alone; no assertion checks anything else.

--- a/crates/cli/tests/large_fleets.rs
+++ b/crates/cli/tests/large_fleets.rs
@@ -129,8 +129,8 @@
     let granted = std::fs::read_to_string("/proc/sys/net/core/rmem_max").expect("the system's limit");
     let granted: usize = granted.trim().parse().expect("a number");
     // The system grants twice what is asked for, up to its limit, and takes less than a KiB for so short a datagram.
-    let held = (FLEET_SIZE - 1).min(2 * granted / 1024);
-    wait_for("the count of what was heard", || received_datagrams(&proxy) >= held);
+    let queued = (FLEET_SIZE - 1).min(2 * granted / 1024);
+    wait_for("the count of what was heard", || received_datagrams(&proxy) >= queued);
 }
 
 /// A datagram from one of the peers.
--- a/crates/cli/tests/readiness.rs
+++ b/crates/cli/tests/readiness.rs
@@ -87,7 +87,7 @@
 fn ready_with_cached_list_without_discovery() {
     let backend = Backend::new(Reply::Write(ok("")));
     let all: Vec<_> = discovery_faults();
-    for (name, address, _held) in &all {
+    for (name, address, _guard) in &all {
         let proxy = Proxy::start_with_discovery_at(
             *address,
             &Setup { cached_list: all_up(&[&backend]), ..Setup::default() },
@@ -109,7 +109,7 @@
     let backend = Backend::new(Reply::Write(ok("")));
     let setup = Setup { cached_list: all_up(&[&backend]), ..Setup::default() };
     let all: Vec<_> = discovery_faults();
-    for (name, address, _held) in &all {
+    for (name, address, _guard) in &all {
         let text = config(*address, &setup).replace(r#""discovery":"pushed""#, r#""discovery":"on_request""#);
         let proxy = Proxy::start_with_config(&text, &setup);
         let after = time_until_ready(&proxy);
@@ -136,7 +136,7 @@
 fn proxy_without_list_rejects_after_some_seconds() {
     let all = discovery_faults();
     thread::scope(|scope| {
-        for (name, address, _held) in &all {
+        for (name, address, _guard) in &all {
             let name = format!("no list, discovery {name}");
             scope.spawn(move || serves_without_a_list(&name, *address, "null"));
         }
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -199,15 +199,15 @@
     settings: Settings,
     endpoints: HashMap<u64, (Endpoint, Option<Millis>)>,
     open: BTreeMap<u64, OpenRequest>,
-    cold: HashMap<u64, Vec<Millis>>,
+    slow_start_sends: HashMap<u64, Vec<Millis>>,
     pub work: Millis,
     pub breaches: Vec<String>,
 }
 
 impl Checker {
     pub fn new(settings: Settings, work: Millis) -> Self {
-        let (endpoints, open, cold, breaches) = Default::default();
-        Checker { settings, endpoints, open, cold, work, breaches }
+        let (endpoints, open, slow_start_sends, breaches) = Default::default();
+        Checker { settings, endpoints, open, slow_start_sends, work, breaches }
     }
 
     /// The proxy was killed: nothing is owed any more.
@@ -228,7 +228,7 @@
                     let old = self.endpoints.get(&e.id.0).and_then(|s| s.1);
                     let draining_since = if e.state == EndpointState::Up { None } else { old.or(Some(now)) };
                     if self.endpoints.get(&e.id.0).is_some_and(|s| s.0.started_at != e.started_at) {
-                        self.cold.remove(&e.id.0); // a new process has its own budget
+                        self.slow_start_sends.remove(&e.id.0); // a new process has its own budget
                     }
                     self.endpoints.insert(e.id.0, (e.clone(), draining_since));
                 }
@@ -337,7 +337,7 @@
         texts.into_iter().for_each(|t| self.breach(now, t));
         self.open.get_mut(&id).unwrap().sent.push(Sent { endpoint: to, at: now, over: false, ran: true });
         if let Some(started_at) = endpoint.started_at.filter(|s| now - s < limits.slow_start_window) {
-            let sent = self.cold.entry(to).or_default();
+            let sent = self.slow_start_sends.entry(to).or_default();
             sent.push(now);
             sent.retain(|t| *t > now - limits.overload_window);
             // If every proxy did the same: sure capacity over the window, plus one request each for chance.
--- a/crates/core/tests/gossip.rs
+++ b/crates/core/tests/gossip.rs
@@ -48,9 +48,8 @@
 #[test]
 fn attempts_at_1024_endpoints_are_reported_in_turn() {
     let cores = |id: u64| Endpoint { weight: 1.0, ..endpoint(id) };
-    let patient = vec![class(Idempotency::Always, 800.0), class(Idempotency::Never, 600_000.0)];
-    let settings =
-        Settings { zone: Some(ZoneId(1023)), classes: patient, gossip_enabled: true, ..settings(2) };
+    let classes = vec![class(Idempotency::Always, 800.0), class(Idempotency::Never, 600_000.0)];
+    let settings = Settings { zone: Some(ZoneId(1023)), classes, gossip_enabled: true, ..settings(2) };
     let mut harness = Harness::new(settings, (1..=1024).map(cores).collect());
     let mut at = HashSet::new();
     for id in 0..1024 {
--- a/crates/core/tests/operators.rs
+++ b/crates/core/tests/operators.rs
@@ -75,8 +75,8 @@
     harness.handle(maintenance(1, true));
     harness.advance(1000.0);
     harness.handle(maintenance(1, false));
-    let cold = sends(&mut harness, 20_000);
-    assert!(cold < warm / 2, "{cold} of {warm}");
+    let in_slow_start = sends(&mut harness, 20_000);
+    assert!(in_slow_start < warm / 2, "{in_slow_start} of {warm}");
     harness.handle(full(vec![endpoint(1), endpoint(2), endpoint(3)])); // started as long ago as before
     let still = sends(&mut harness, 30_000);
     assert!(still < warm / 2, "{still} of {warm}");
@@ -183,6 +183,6 @@
         }
         (1..31).map(|id| sends(&harness.handle(request(id, 0, 3000.0))).len()).sum::<usize>()
     };
-    let (staying_count, draining_count) = (out(false), out(true));
-    assert!(draining_count > staying_count, "{draining_count} against {staying_count}");
+    let (active_count, draining_count) = (out(false), out(true));
+    assert!(draining_count > active_count, "{draining_count} against {active_count}");
 }
--- a/crates/core/tests/properties.rs
+++ b/crates/core/tests/properties.rs
@@ -10,7 +10,7 @@
 }
 
 /// A random source of legal events around one proxy. It is no model of endpoints.
-struct World {
+struct Simulation {
     rng: fastrand::Rng,
     now: Millis,
     balancer: Balancer,
@@ -25,11 +25,11 @@
     tamper: fn(&mut Vec<Action>),
 }
 
-impl World {
+impl Simulation {
     fn new(seed: u64, settings: Settings, tamper: fn(&mut Vec<Action>)) -> Self {
         let mut rng = fastrand::Rng::with_seed(seed);
         let list = (0..rng.u64(0..14)).map(endpoint).collect();
-        World {
+        Simulation {
             balancer: Balancer::new(settings.clone(), seed),
             checker: Checker::new(settings.clone(), 60.0),
             rng,
@@ -240,7 +240,7 @@
 fn rules_hold_over_random_streams() {
     for (v, settings) in variants().into_iter().enumerate() {
         for seed in 0..12 {
-            let breaches = World::new(seed, settings.clone(), |_| {}).run(20_000.0);
+            let breaches = Simulation::new(seed, settings.clone(), |_| {}).run(20_000.0);
             assert!(
                 breaches.is_empty(),
                 "variant {v}, seed {seed}: {:?}",
@@ -254,9 +254,9 @@
 fn no_decision_breaks_an_invariant() {
     for (v, settings) in variants().into_iter().enumerate() {
         for seed in 0..12 {
-            let mut world = World::new(seed, settings.clone(), |_| {});
-            world.play(20_000.0);
-            assert_eq!(world.violations, 0, "variant {v}, seed {seed}");
+            let mut simulation = Simulation::new(seed, settings.clone(), |_| {});
+            simulation.play(20_000.0);
+            assert_eq!(simulation.violations, 0, "variant {v}, seed {seed}");
         }
     }
 }
@@ -280,7 +280,7 @@
 
 fn caught(tamper: fn(&mut Vec<Action>), what: &str) {
     let all: Vec<String> =
-        (0..40).flat_map(|seed| World::new(seed, settings(4), tamper).run(20_000.0)).collect();
+        (0..40).flat_map(|seed| Simulation::new(seed, settings(4), tamper).run(20_000.0)).collect();
     assert!(all.iter().any(|b| b.contains(what)), "the checker missed '{what}': {:?}", all.first());
 }
 
@@ -318,8 +318,9 @@
     );
     caught(
         |out| {
-            let cold = |a: &&Action| matches!(a, Action::Send { endpoint, .. } if endpoint.0 >= 100);
-            if let Some(a) = out.iter().find(cold).cloned() {
+            let is_to_slow_start =
+                |a: &&Action| matches!(a, Action::Send { endpoint, .. } if endpoint.0 >= 100);
+            if let Some(a) = out.iter().find(is_to_slow_start).cloned() {
                 out.extend(std::iter::repeat_n(a, 40));
             }
         },
--- a/crates/core/tests/subscription.rs
+++ b/crates/core/tests/subscription.rs
@@ -163,13 +163,13 @@
 #[test]
 fn silent_watch_is_cancelled_and_missed_changes_count_later() {
     let mut proxy = Proxy::synchronized(DiscoveryMode::OnRequest);
-    let (heard_at, silent) = (proxy.now, proxy.call());
-    proxy.run_until(heard_at + 3100.0);
+    let (received_at, silent) = (proxy.now, proxy.call());
+    proxy.run_until(received_at + 3100.0);
     assert_eq!(proxy.cancelled, [(silent, CancelReason::Silent)]);
-    proxy.fail_until(heard_at + AFTER_CHANGE + GRACE - MARGIN, CallEnd::Closed);
-    proxy.valid_until_grace_after(heard_at + AFTER_CHANGE);
+    proxy.fail_until(received_at + AFTER_CHANGE + GRACE - MARGIN, CallEnd::Closed);
+    proxy.valid_until_grace_after(received_at + AFTER_CHANGE);
     assert!(proxy.sends(1));
-    proxy.fail_until(heard_at + AFTER_CHANGE + GRACE, CallEnd::Closed);
+    proxy.fail_until(received_at + AFTER_CHANGE + GRACE, CallEnd::Closed);
     assert!(!proxy.sends(2));
     assert!(proxy.rejected.last().expect("a refusal").is_some(), "told when to come back");
     proxy.await_call();
@@ -180,15 +180,15 @@
 #[test]
 fn waiting_requests_are_rejected_once_list_is_stale() {
     let mut proxy = Proxy::synchronized(DiscoveryMode::OnRequest);
-    let heard_at = proxy.now;
-    proxy.fail_until(heard_at + AFTER_CHANGE + GRACE - MARGIN - 300.0, CallEnd::Closed);
+    let received_at = proxy.now;
+    proxy.fail_until(received_at + AFTER_CHANGE + GRACE - MARGIN - 300.0, CallEnd::Closed);
     for id in 0..200 {
         proxy.handle(request(id, 1, 5000.0));
     }
     let waiting = 200 - proxy.sent.len() - proxy.rejected.len();
     assert!(waiting > 0, "more than the endpoints' slots");
     let sent = proxy.sent.len();
-    proxy.fail_until(heard_at + AFTER_CHANGE + GRACE, CallEnd::Closed);
+    proxy.fail_until(received_at + AFTER_CHANGE + GRACE, CallEnd::Closed);
     for id in 0..sent as u64 {
         proxy.handle(common::ended(id, 0, 50.0, Outcome::Served));
     }
@@ -203,9 +203,9 @@
     proxy.end_call(CallEnd::Closed);
     proxy.valid_until_grace_after(1500.0);
     let mut silent = Proxy::synchronized(DiscoveryMode::Pushed);
-    let heard_at = silent.now;
-    silent.run_until(heard_at + 3100.0);
-    silent.valid_until_grace_after(silent.cancelled.first().map_or(0.0, |_| heard_at + 3000.0));
+    let received_at = silent.now;
+    silent.run_until(received_at + 3100.0);
+    silent.valid_until_grace_after(silent.cancelled.first().map_or(0.0, |_| received_at + 3000.0));
     Proxy::new(DiscoveryMode::Pushed).valid_until_grace_after(0.0);
 }
 
--- a/crates/core/tests/uploads.rs
+++ b/crates/core/tests/uploads.rs
@@ -34,14 +34,14 @@
 
 #[test]
 fn body_not_replayable_is_not_sent_again() {
-    for spent in [false, true] {
+    for not_replayable in [false, true] {
         let mut harness = Harness::new(settings(1), vec![endpoint(1), endpoint(2)]);
         assert_eq!(sends(&harness.handle(request(1, 0, 3000.0))).len(), 1);
         harness.handle(upload(1, UploadStage::Started));
-        if spent {
+        if not_replayable {
             harness.handle(upload(1, UploadStage::NotReplayable));
         }
         let next = harness.handle(ended(1, 0, 5.0, Outcome::ConnectFailed));
-        assert_eq!((sends(&next).len(), answers(&next)), if spent { (0, 1) } else { (1, 0) });
+        assert_eq!((sends(&next).len(), answers(&next)), if not_replayable { (0, 1) } else { (1, 0) });
     }
 }
