Simulator: drains and spread faults are worked out in one place each

The drain rule updated its two tables of drains (what discovery has, what was written to a proxy) by the same match, and two faults spread the backends that they affect over their time by the same lines. `record_drain` and `affected_backends_in_turn` serve both.

--- a/crates/simulator/src/drain_rule.rs
+++ b/crates/simulator/src/drain_rule.rs
@@ -151,15 +151,7 @@
 
     /// Discovery has a change and can be reached.
     pub fn discovery_updated(&mut self, now: Millis, entry: &Endpoint) {
-        let backend = backend_of(entry);
-        match entry.state {
-            EndpointState::Up => {
-                self.draining_since.remove(&backend);
-            }
-            EndpointState::Draining | EndpointState::Removed => {
-                self.draining_since.entry(backend).or_insert(now);
-            }
-        }
+        record_drain(&mut self.draining_since, now, entry);
     }
 
     /// Discovery has written a list or changes to a proxy.
@@ -174,15 +166,7 @@
             }
         }
         for entry in list.entries {
-            let backend = backend_of(entry);
-            match entry.state {
-                EndpointState::Up => {
-                    state.written.remove(&backend);
-                }
-                EndpointState::Draining | EndpointState::Removed => {
-                    state.written.entry(backend).or_insert(now);
-                }
-            }
+            record_drain(&mut state.written, now, entry);
         }
         if !list.former_address {
             state.watch = Watch::Live;
@@ -266,6 +250,19 @@
     }
 }
 
+/// Records since when an entry's backend drains or is removed; one that is up again is dropped.
+fn record_drain(since: &mut FxHashMap<BackendIndex, Millis>, now: Millis, entry: &Endpoint) {
+    let backend = backend_of(entry);
+    match entry.state {
+        EndpointState::Up => {
+            since.remove(&backend);
+        }
+        EndpointState::Draining | EndpointState::Removed => {
+            since.entry(backend).or_insert(now);
+        }
+    }
+}
+
 fn backend_of(entry: &Endpoint) -> BackendIndex {
     BackendIndex(entry.id.0 as usize)
 }
--- a/crates/simulator/src/simulation/faults.rs
+++ b/crates/simulator/src/simulation/faults.rs
@@ -118,11 +118,16 @@
         }
     }
 
-    fn replace_backends(&mut self, index: FaultIndex, fault: &Fault) {
+    /// The backends that a fault affects one after another, each with its time.
+    fn affected_backends_in_turn(&self, index: FaultIndex, fault: &Fault) -> Vec<(Millis, BackendIndex)> {
         let backends = self.affected_backends(index, fault);
         let count = backends.len().max(1) as f64;
-        for (position, backend) in backends.into_iter().enumerate() {
-            let at = evenly_spaced(fault, position, count);
+        let at = |position| evenly_spaced(fault, position, count);
+        backends.into_iter().enumerate().map(|(position, backend)| (at(position), backend)).collect()
+    }
+
+    fn replace_backends(&mut self, index: FaultIndex, fault: &Fault) {
+        for (at, backend) in self.affected_backends_in_turn(index, fault) {
             self.events.schedule_at(at, Event::BackendReplaced(backend));
         }
     }
@@ -138,10 +143,7 @@
     }
 
     fn drain_backends(&mut self, index: FaultIndex, fault: &Fault) {
-        let backends = self.affected_backends(index, fault);
-        let count = backends.len().max(1) as f64;
-        for (position, backend) in backends.into_iter().enumerate() {
-            let at = evenly_spaced(fault, position, count);
+        for (at, backend) in self.affected_backends_in_turn(index, fault) {
             self.events.schedule_at(at, Event::BackendDrains(backend));
             if fault.magnitude > 0.0 {
                 let stops_at = at + fault.magnitude * MS_PER_S;
