Tests: one function each for delayed replies, platforms and full listeners

The same set-up stood in several files of the program's tests. `delaying_backend` serves what wrote its match again (four places), `setup_with_platform` the settings and folder of a platform (eight places), `send_delayed_requests` the requests that fill a backend's slots; the tests of cancelled connects share a rejecting backend and a proxy before a full listener.

--- a/crates/cli/tests/cancellation_while_connecting.rs
+++ b/crates/cli/tests/cancellation_while_connecting.rs
@@ -1,15 +1,28 @@
 //! Clients that cancel a request while a connection to a backend is established or a retry is due: nothing is sent any more.
 mod sockets;
 
+use std::net::{TcpListener, TcpStream};
+
 use sockets::cancellation::*;
 use sockets::*;
 
+/// A backend that rejects all requests once the latch opens.
+fn rejecting_backend(latch: &Latch) -> Backend {
+    Backend::new(Reply::Delayed(latch.clone(), empty("503 Busy\r\nX-Not-Processed: 1")))
+}
+
+/// A proxy whose only backend has a full accept queue: the listener, what fills it, the discovery and the proxy.
+fn proxy_before_full_listener() -> (TcpListener, TcpStream, Discovery, Proxy) {
+    let (slow, full) = full_listener();
+    let address = slow.local_addr().expect("its own");
+    let (discovery, proxy) = start_proxy_with_long_timeouts(&[host("s-0", address, "up", 0)]);
+    (slow, full, discovery, proxy)
+}
+
 #[test]
 fn cancelled_while_connecting() {
     for cancellation in CANCELLATIONS {
-        let (slow, full) = full_listener();
-        let (_discovery, proxy) =
-            start_proxy_with_long_timeouts(&[host("s-0", slow.local_addr().expect("its own"), "up", 0)]);
+        let (slow, full, _discovery, proxy) = proxy_before_full_listener();
         let mut client = proxy.client();
         client.send(&submit("r-cancelled", "60", "x"));
         wait_for_pending(&proxy, 1);
@@ -23,9 +36,7 @@
 fn cancelled_before_a_retry() {
     for cancellation in CANCELLATIONS {
         let latch = Latch::default();
-        let latch_copy = latch.clone();
-        let busy = empty("503 Busy\r\nX-Not-Processed: 1");
-        let first = Backend::with(move |_| Reply::Delayed(latch_copy.clone(), busy.clone()));
+        let first = rejecting_backend(&latch);
         let second = Backend::new(Reply::Write(ok("")));
         let (discovery, proxy) = start_proxy_with_long_timeouts(&[host("s-0", first.address, "up", 0)]);
         let mut client = proxy.client();
@@ -45,9 +56,7 @@
 #[test]
 fn cancelled_as_its_connection_is_established() {
     for cancellation in CANCELLATIONS {
-        let (slow, full) = full_listener();
-        let (_discovery, proxy) =
-            start_proxy_with_long_timeouts(&[host("s-0", slow.local_addr().expect("its own"), "up", 0)]);
+        let (slow, full, _discovery, proxy) = proxy_before_full_listener();
         let mut client = proxy.client();
         client.send(&submit("r-cancelled", "60", "x"));
         wait_for("its dial", || proxy.dials() == 1);
@@ -66,8 +75,7 @@
         CANCELLATIONS.into_iter().flat_map(|cancellation| [(cancellation, false), (cancellation, true)])
     {
         let latch = Latch::default();
-        let busy = Reply::Delayed(latch.clone(), empty("503 Busy\r\nX-Not-Processed: 1"));
-        let first = Backend::with(move |_| busy.clone());
+        let first = rejecting_backend(&latch);
         let (slow, full) = full_listener();
         let (discovery, proxy) = start_proxy_with_long_timeouts(&[host("s-0", first.address, "up", 0)]);
         let mut client = proxy.client();
@@ -96,9 +104,7 @@
 #[test]
 fn cancelled_while_reconnecting() {
     for cancellation in CANCELLATIONS {
-        let (slow, full) = full_listener();
-        let (_discovery, proxy) =
-            start_proxy_with_long_timeouts(&[host("s-0", slow.local_addr().expect("its own"), "up", 0)]);
+        let (slow, full, _discovery, proxy) = proxy_before_full_listener();
         let mut client = proxy.client();
         client.send(&submit("r-first", "60", "x"));
         let mut pooled = accept_connecting(&slow, &full);
@@ -123,8 +129,7 @@
 fn cancelled_while_waiting_for_a_retry() {
     for cancellation in CANCELLATIONS {
         let latch = Latch::default();
-        let busy = Reply::Delayed(latch.clone(), empty("503 Busy\r\nX-Not-Processed: 1"));
-        let first = Backend::with(move |_| busy.clone());
+        let first = rejecting_backend(&latch);
         let second = Backend::new(Reply::Write(ok("")));
         let (discovery, proxy) = start_proxy_with_long_timeouts(&[host("s-0", first.address, "up", 0)]);
         let mut client = proxy.client();
--- a/crates/cli/tests/forwarding.rs
+++ b/crates/cli/tests/forwarding.rs
@@ -43,8 +43,7 @@
 #[test]
 fn open_request_id_is_rejected_until_its_end() {
     let latch = Latch::default();
-    let latch_copy = latch.clone();
-    let backend = Backend::with(move |_| Reply::Delayed(latch_copy.clone(), ok("first")));
+    let backend = Backend::new(Reply::Delayed(latch.clone(), ok("first")));
     let (_discovery, proxy) = proxy_with(&[&backend]);
     let mut first = proxy.client();
     first.send(&submit("r-1", "5", "x"));
@@ -79,11 +78,7 @@
 #[test]
 fn late_response_is_discarded() {
     let latch = Latch::default();
-    let latch_copy = latch.clone();
-    let backend = Backend::with(move |request| match request.id() {
-        "r-held" => Reply::Delayed(latch_copy.clone(), ok("late")),
-        _ => Reply::Write(ok("prompt")),
-    });
+    let backend = delaying_backend(&latch, "r-held");
     let (_discovery, proxy) = proxy_with(&[&backend]);
     let mut client = proxy.client();
     assert_eq!(status(client.request(&submit("r-held", "0.5", "x"))), 502);
@@ -98,8 +93,7 @@
 #[test]
 fn cancelled_requests_are_not_sent() {
     let latch = Latch::default();
-    let latch_copy = latch.clone();
-    let backend = Backend::with(move |_| Reply::Delayed(latch_copy.clone(), ok("")));
+    let backend = Backend::new(Reply::Delayed(latch.clone(), ok("")));
     let discovery = Discovery::new();
     discovery.publish(&all_up(&[&backend]));
     let proxy = Proxy::start_ready(&discovery, &Setup { has_admin: true, ..Setup::default() });
--- a/crates/cli/tests/handover.rs
+++ b/crates/cli/tests/handover.rs
@@ -15,9 +15,8 @@
     let other = UdpSocket::bind("127.0.0.1:0").unwrap();
     let gossip_enabled = Some((own.local_addr().unwrap(), other.local_addr().unwrap()));
     drop(own);
-    let platform = Platform::new("upgrade");
-    let folder = platform.folder.clone();
-    let setup = Setup { platform: Some(platform), gossip: gossip_enabled, ..setup_with_admin() };
+    let (setup, folder) = setup_with_platform("upgrade");
+    let setup = Setup { gossip: gossip_enabled, ..setup };
     let mut old = Proxy::start_ready(&discovery, &setup);
     let mut client = old.client();
     assert_eq!(status(client.request(&page("r-0"))), 200);
@@ -63,9 +62,7 @@
         let backends = ["one", "two"].map(|text| Backend::new(Reply::Write(ok(text))));
         let discovery = Discovery::new();
         discovery.publish(&all_up(&[&backends[0], &backends[1]]));
-        let platform = Platform::new(name);
-        let folder = platform.folder.clone();
-        let setup = Setup { platform: Some(platform), ..setup_with_admin() };
+        let (setup, folder) = setup_with_platform(name);
         let old = Proxy::start_ready(&discovery, &setup);
         assert_eq!(old.admin_call("PUT /backends/s-0/maint").status(), 200);
         MaintenanceUpgrade { backends, discovery, setup, folder, old }
@@ -124,9 +121,7 @@
     let backend = Backend::new(Reply::Write(ok("")));
     let discovery = Discovery::new();
     discovery.publish(&all_up(&[&backend]));
-    let platform = Platform::new("killed");
-    let folder = platform.folder.clone();
-    let setup = Setup { platform: Some(platform), ..setup_with_admin() };
+    let (setup, folder) = setup_with_platform("killed");
     let old = Proxy::start_ready(&discovery, &setup);
     let new = Proxy::start(&discovery, &setup);
     wait_for("the new process", || new.admin_call("GET /healthcheck").status() == 200);
@@ -142,9 +137,7 @@
     let two = Backend::new(Reply::Write(ok("two")));
     let discovery = Discovery::new();
     discovery.publish(&all_up(&[&one, &two]));
-    let platform = Platform::new("ban");
-    let folder = platform.folder.clone();
-    let setup = Setup { platform: Some(platform), ..setup_with_admin() };
+    let (setup, folder) = setup_with_platform("ban");
     let old = Proxy::start_ready(&discovery, &setup);
     let new = Proxy::start(&discovery, &setup);
     wait_for("the new process", || new.admin_call("GET /healthcheck").status() == 200);
@@ -160,10 +153,9 @@
     let backend = Backend::new(Reply::Write(ok("")));
     let discovery = Discovery::new();
     discovery.publish(&all_up(&[&backend]));
-    let platform = Platform::new("alone");
-    let folder = platform.folder.clone();
+    let (setup, folder) = setup_with_platform("alone");
     std::fs::write(folder.join("leadrelay-n0.json"), "{\"version\":").expect("a file");
-    let mut proxy = Proxy::start_ready(&discovery, &Setup { platform: Some(platform), ..setup_with_admin() });
+    let mut proxy = Proxy::start_ready(&discovery, &setup);
     proxy.terminate();
     assert_eq!(status(proxy.client().request(&page("r-1"))), 200);
     assert!(proxy.wait().success());
@@ -175,8 +167,8 @@
     let backend = Backend::new(Reply::Write(ok("")));
     let discovery = Discovery::new();
     discovery.publish(&all_up(&[&backend]));
-    let platform = Platform::new("none");
-    std::fs::remove_dir_all(&platform.folder).expect("it is there");
-    let proxy = Proxy::start_ready(&discovery, &Setup { platform: Some(platform), ..setup_with_admin() });
+    let (setup, folder) = setup_with_platform("none");
+    std::fs::remove_dir_all(folder).expect("it is there");
+    let proxy = Proxy::start_ready(&discovery, &setup);
     assert_eq!(status(proxy.client().request(&page("r-1"))), 200);
 }
--- a/crates/cli/tests/handover_lock.rs
+++ b/crates/cli/tests/handover_lock.rs
@@ -24,12 +24,8 @@
     let backend = Backend::new(Reply::Write(ok("")));
     let discovery = Discovery::new();
     discovery.publish(&all_up(&[&backend]));
-    let platform = Platform::new("locked");
-    let folder = platform.folder.clone();
-    let mut proxy = Proxy::start_ready(
-        &discovery,
-        &Setup { platform: Some(platform), deadline_ms: 1000, ..setup_with_admin() },
-    );
+    let (setup, folder) = setup_with_platform("locked");
+    let mut proxy = Proxy::start_ready(&discovery, &Setup { deadline_ms: 1000, ..setup });
     let lock = locked(&folder);
     for call in ["PUT /backends/s-0/maint", "PUT /backends/s-0/ready", "PUT /healthcheck/fail"] {
         let (status, after) = timed_call(&proxy, call);
@@ -70,8 +66,7 @@
     let backend = Backend::new(Reply::Write(ok("")));
     let discovery = Discovery::new();
     discovery.publish(&all_up(&[&backend]));
-    let platform = Platform::new("start");
-    let folder = platform.folder.clone();
+    let (setup, folder) = setup_with_platform("start");
     let lock = locked(&folder);
     let started_at = Instant::now();
     let lock = Arc::new(Mutex::new(Some(lock)));
@@ -81,7 +76,7 @@
         std::thread::sleep(Duration::from_secs(10));
         released.lock().expect("no panic").take();
     });
-    let proxy = Proxy::start_ready(&discovery, &Setup { platform: Some(platform), ..setup_with_admin() });
+    let proxy = Proxy::start_ready(&discovery, &setup);
     assert!(started_at.elapsed() < Duration::from_secs(5), "{:?}", started_at.elapsed());
     assert_eq!(status(proxy.client().request(&page("r-1"))), 200);
     // What could not be written at the start is written once it can be.
--- a/crates/cli/tests/idempotency_window.rs
+++ b/crates/cli/tests/idempotency_window.rs
@@ -32,9 +32,7 @@
 impl PendingRetry {
     fn new() -> Self {
         let latch = Latch::default();
-        let latch_copy = latch.clone();
-        let first =
-            Backend::with(move |_| Reply::InParts(String::new(), latch_copy.clone(), "no HTTP".into()));
+        let first = Backend::new(Reply::InParts(String::new(), latch.clone(), "no HTTP".into()));
         let (second, filler) = full_listener();
         let discovery = Discovery::new();
         discovery.publish(&list(1, true, &[host("s-0", first.address, "up", 0)]));
--- a/crates/cli/tests/operations.rs
+++ b/crates/cli/tests/operations.rs
@@ -137,11 +137,7 @@
 #[test]
 fn reload_changes_classes_and_keeps_counts() {
     let latch = Latch::default();
-    let latch_copy = latch.clone();
-    let backend = Backend::with(move |request| match request.id() {
-        "r-held" => Reply::Delayed(latch_copy.clone(), ok("held")),
-        _ => Reply::Write(ok("")),
-    });
+    let backend = delaying_backend(&latch, "r-held");
     let discovery = Discovery::new();
     discovery.publish(&all_up(&[&backend]));
     let proxy = Proxy::start_ready(&discovery, &setup_with_admin());
--- a/crates/cli/tests/process.rs
+++ b/crates/cli/tests/process.rs
@@ -41,11 +41,7 @@
 #[test]
 fn sigterm_answers_open_and_new_requests() {
     let latch = Latch::default();
-    let latch_copy = latch.clone();
-    let backend = Backend::with(move |request| match request.id() {
-        "r-held" => Reply::Delayed(latch_copy.clone(), ok("held")),
-        _ => Reply::Write(ok("prompt")),
-    });
+    let backend = delaying_backend(&latch, "r-held");
     let (_discovery, mut proxy) = proxy_with(&[&backend]);
     let mut busy = proxy.client();
     let mut idle = proxy.client();
--- a/crates/cli/tests/remaining_time.rs
+++ b/crates/cli/tests/remaining_time.rs
@@ -3,6 +3,7 @@
 
 use std::time::{Duration, Instant};
 
+use sockets::cancellation::send_delayed_requests;
 use sockets::*;
 
 /// By how much the time that a backend is sent may exceed what the client has left, in seconds.
@@ -12,11 +13,7 @@
 
 /// A proxy with one backend, which delays requests named `r-held` until the latch opens.
 fn proxy_with_delays(latch: &Latch) -> (Backend, Discovery, Proxy) {
-    let latch = latch.clone();
-    let backend = Backend::with(move |request| match request.id().starts_with("r-held") {
-        true => Reply::Delayed(latch.clone(), ok("held")),
-        false => Reply::Write(ok("prompt")),
-    });
+    let backend = delaying_backend(latch, "r-held");
     let discovery = Discovery::new();
     discovery.publish(&list(1, true, &[host("s-0", backend.address, "up", 0)]));
     let setup = Setup { has_admin: true, deadline_ms: 60_000, ..Setup::default() };
@@ -26,12 +23,7 @@
 
 /// Requests that the backend delays: more than it has slots, so that what follows waits.
 fn fill_slots(proxy: &Proxy) -> Vec<Client> {
-    let held = |number| {
-        let mut client = proxy.client();
-        client.send(&submit(&format!("r-held-{number}"), "60", "x"));
-        client
-    };
-    let clients = (0..12).map(held).collect();
+    let clients = send_delayed_requests(proxy);
     wait_for("requests that wait", || proxy.waiting() > 0);
     clients
 }
@@ -47,7 +39,7 @@
 fn waiting_request_with_long_body_is_rejected_in_time() {
     let latch = Latch::default();
     let (backend, _discovery, proxy) = proxy_with_delays(&latch);
-    let _held = fill_slots(&proxy);
+    let _delayed = fill_slots(&proxy);
     let mut client = proxy.client();
     client.send(&submit("r-long", "1", &"x".repeat(LONG_BODY)));
     let sent_at = Instant::now();
@@ -63,7 +55,7 @@
 fn waiting_request_with_long_body_sends_its_remaining_time() {
     let latch = Latch::default();
     let (backend, _discovery, proxy) = proxy_with_delays(&latch);
-    let _held = fill_slots(&proxy);
+    let _delayed = fill_slots(&proxy);
     let mut client = proxy.client();
     client.send(&submit("r-long", "20", &"x".repeat(LONG_BODY)));
     let sent_at = Instant::now();
--- a/crates/cli/tests/sockets/cancellation.rs
+++ b/crates/cli/tests/sockets/cancellation.rs
@@ -93,14 +93,19 @@
     })
 }
 
-/// Twelve requests that the backend delays: more than it has slots, so that what follows waits.
-pub fn fill_slots(proxy: &Proxy) -> Vec<Client> {
+/// Sends twelve requests that the backend delays: more than it has slots, so that what follows waits.
+pub fn send_delayed_requests(proxy: &Proxy) -> Vec<Client> {
     let client = |number| {
         let mut client = proxy.client();
         client.send(&submit(&format!("r-held-{number}"), "60", "x"));
         client
     };
-    let clients = (0..12).map(client).collect();
+    (0..12).map(client).collect()
+}
+
+/// Sends twelve requests that the backend delays, and waits until the proxy has them all.
+pub fn fill_slots(proxy: &Proxy) -> Vec<Client> {
+    let clients = send_delayed_requests(proxy);
     wait_for_pending(proxy, 12);
     clients
 }
--- a/crates/cli/tests/sockets/mod.rs
+++ b/crates/cli/tests/sockets/mod.rs
@@ -18,6 +18,7 @@
 use std::time::{Duration, Instant};
 
 pub use backend::{Backend, Latch, Reply, empty, ok};
+pub use cancellation::delaying_backend;
 pub use client::{Client, page, submit};
 pub use discovery::{Discovery, all_up, host, list};
 pub use listener::{RefusingAddress, accept_connecting, fill_accept_queue, full_listener, wait_for_close};
@@ -25,7 +26,7 @@
 pub use program::{leadrelay, text, two_backends};
 pub use proxy::Proxy;
 pub use scripted_discovery::{ScriptedDiscovery, ScriptedResponse};
-pub use setup::{Platform, Setup, config, config_file, setup_with_admin};
+pub use setup::{Platform, Setup, config, config_file, setup_with_admin, setup_with_platform};
 
 /// No wait takes longer, however loaded the machine.
 pub const LIMIT: Duration = Duration::from_secs(30);
--- a/crates/cli/tests/sockets/setup.rs
+++ b/crates/cli/tests/sockets/setup.rs
@@ -44,6 +44,13 @@
     Setup { has_admin: true, ..Setup::default() }
 }
 
+/// The defaults, with an admin address and a platform; and the folder that the platform's processes share.
+pub fn setup_with_platform(name: &str) -> (Setup, PathBuf) {
+    let platform = Platform::new(name);
+    let folder = platform.folder.clone();
+    (Setup { platform: Some(platform), ..setup_with_admin() }, folder)
+}
+
 /// The platform of a proxy that passes it a listening socket.
 pub struct Platform {
     pub listener: TcpListener,
