--- a/crates/cli/tests/cancellation_while_connecting.rs
+++ b/crates/cli/tests/cancellation_while_connecting.rs
@@ -1,15 +1,28 @@
 //! Clients that cancel a request while a connection to a backend is established or a retry is due: nothing is sent any more.
 mod sockets;
 
+use std::net::{TcpListener, TcpStream};
+
 use sockets::cancellation::*;
 use sockets::*;
 
+/// A backend that rejects all requests once the latch opens.
+fn rejecting_backend(latch: &Latch) -> Backend {
+    Backend::new(Reply::Delayed(latch.clone(), empty("503 Busy\r\nX-Not-Processed: 1")))
+}
+
+/// A proxy whose only backend has a full accept queue: the listener, what fills it, the discovery and the proxy.
+fn proxy_before_full_listener() -> (TcpListener, TcpStream, Discovery, Proxy) {
+    let (slow, full) = full_listener();
+    let address = slow.local_addr().expect("its own");
+    let (discovery, proxy) = start_proxy_with_long_timeouts(&[host("s-0", address, "up", 0)]);
+    (slow, full, discovery, proxy)
+}
+
 #[test]
 fn cancelled_while_connecting() {
     for cancellation in CANCELLATIONS {
-        let (slow, full) = full_listener();
-        let (_discovery, proxy) =
-            start_proxy_with_long_timeouts(&[host("s-0", slow.local_addr().expect("its own"), "up", 0)]);
+        let (slow, full, _discovery, proxy) = proxy_before_full_listener();
         let mut client = proxy.client();
         client.send(&submit("r-cancelled", "60", "x"));
         wait_for_pending(&proxy, 1);
@@ -22,10 +35,8 @@
 #[test]
 fn cancelled_before_a_retry() {
     for cancellation in CANCELLATIONS {
-        let gate = Gate::default();
-        let gate_copy = gate.clone();
-        let busy = empty("503 Busy\r\nX-Not-Processed: 1");
-        let first = Backend::with(move |_| Reply::Delayed(gate_copy.clone(), busy.clone()));
+        let latch = Latch::default();
+        let first = rejecting_backend(&latch);
         let second = Backend::new(Reply::Write(ok("")));
         let (discovery, proxy) = start_proxy_with_long_timeouts(&[host("s-0", first.address, "up", 0)]);
         let mut client = proxy.client();
@@ -35,7 +46,7 @@
         wait_for("the second backend", || proxy.stat("/members") == 2);
         let _open = cancellation.cancel(client);
         wait_for_pending(&proxy, 0);
-        gate.open();
+        latch.open();
         wait_for("the attempt's end", || proxy.log_contains("attempt failed"));
         assert_eq!(proxy.client().request(&page("r-last")).expect("a response").status(), 200);
         assert!(!request_ids(&second).contains(&"r-cancelled".into()), "{cancellation:?}");
@@ -45,9 +56,7 @@
 #[test]
 fn cancelled_as_its_connection_is_established() {
     for cancellation in CANCELLATIONS {
-        let (slow, full) = full_listener();
-        let (_discovery, proxy) =
-            start_proxy_with_long_timeouts(&[host("s-0", slow.local_addr().expect("its own"), "up", 0)]);
+        let (slow, full, _discovery, proxy) = proxy_before_full_listener();
         let mut client = proxy.client();
         client.send(&submit("r-cancelled", "60", "x"));
         wait_for("its dial", || proxy.dials() == 1);
@@ -65,9 +74,8 @@
     for (cancellation, at_once) in
         CANCELLATIONS.into_iter().flat_map(|cancellation| [(cancellation, false), (cancellation, true)])
     {
-        let gate = Gate::default();
-        let busy = Reply::Delayed(gate.clone(), empty("503 Busy\r\nX-Not-Processed: 1"));
-        let first = Backend::with(move |_| busy.clone());
+        let latch = Latch::default();
+        let first = rejecting_backend(&latch);
         let (slow, full) = full_listener();
         let (discovery, proxy) = start_proxy_with_long_timeouts(&[host("s-0", first.address, "up", 0)]);
         let mut client = proxy.client();
@@ -76,7 +84,7 @@
         let address = slow.local_addr().expect("its own");
         discovery.publish(&list(2, true, &[host("s-1", address, "up", 0)]));
         wait_for("the second backend", || proxy.stat("/members") == 1);
-        gate.open();
+        latch.open();
         wait_for("the second attempt", || proxy.dials() == 2);
         let connection = if at_once {
             proxy.pause();
@@ -96,9 +104,7 @@
 #[test]
 fn cancelled_while_reconnecting() {
     for cancellation in CANCELLATIONS {
-        let (slow, full) = full_listener();
-        let (_discovery, proxy) =
-            start_proxy_with_long_timeouts(&[host("s-0", slow.local_addr().expect("its own"), "up", 0)]);
+        let (slow, full, _discovery, proxy) = proxy_before_full_listener();
         let mut client = proxy.client();
         client.send(&submit("r-first", "60", "x"));
         let mut pooled = accept_connecting(&slow, &full);
@@ -122,9 +128,8 @@
 #[test]
 fn cancelled_while_waiting_for_a_retry() {
     for cancellation in CANCELLATIONS {
-        let gate = Gate::default();
-        let busy = Reply::Delayed(gate.clone(), empty("503 Busy\r\nX-Not-Processed: 1"));
-        let first = Backend::with(move |_| busy.clone());
+        let latch = Latch::default();
+        let first = rejecting_backend(&latch);
         let second = Backend::new(Reply::Write(ok("")));
         let (discovery, proxy) = start_proxy_with_long_timeouts(&[host("s-0", first.address, "up", 0)]);
         let mut client = proxy.client();
@@ -133,7 +138,7 @@
         discovery.publish(&list(2, false, &[host("s-0", first.address, "draining", 0)]));
         wait_for("the drain", || proxy.stat("/members_unavailable") == 1);
         assert_eq!(first.closed(), 0, "the attempt is out still");
-        gate.open();
+        latch.open();
         wait_for("the attempt's end", || proxy.log_contains("attempt failed"));
         wait_for("it to wait", || proxy.waiting() == 1);
         assert_eq!(proxy.stat("/pending"), 1);
--- a/crates/cli/tests/process.rs
+++ b/crates/cli/tests/process.rs
@@ -40,12 +40,8 @@
 
 #[test]
 fn sigterm_answers_open_and_new_requests() {
-    let gate = Gate::default();
-    let gate_copy = gate.clone();
-    let backend = Backend::with(move |request| match request.id() {
-        "r-held" => Reply::Delayed(gate_copy.clone(), ok("held")),
-        _ => Reply::Write(ok("prompt")),
-    });
+    let latch = Latch::default();
+    let backend = delaying_backend(&latch, "r-held");
     let (_discovery, mut proxy) = proxy_with(&[&backend]);
     let mut busy = proxy.client();
     let mut idle = proxy.client();
@@ -58,7 +54,7 @@
     let response = fresh.request(&page("r-2")).expect("a response");
     assert_eq!((response.status(), response.header("connection")), (200, Some("close")));
     assert!(idle.is_closed(), "an idle connection closes");
-    gate.open();
+    latch.open();
     let response = busy.response().expect("a response");
     assert_eq!((response.status(), response.header("connection")), (200, Some("close")));
     assert!(proxy.wait().success());
--- a/crates/cli/tests/remaining_time.rs
+++ b/crates/cli/tests/remaining_time.rs
@@ -3,6 +3,7 @@
 
 use std::time::{Duration, Instant};
 
+use sockets::cancellation::send_delayed_requests;
 use sockets::*;
 
 /// By how much the time that a backend is sent may exceed what the client has left, in seconds.
@@ -10,13 +11,9 @@
 /// More than is read of a body before its request is queued, and less than the system holds of one.
 const LONG_BODY: usize = 200 << 10;
 
-/// A proxy with one backend, which delays requests named `r-held` until the gate opens.
-fn proxy_with_delays(gate: &Gate) -> (Backend, Discovery, Proxy) {
-    let gate = gate.clone();
-    let backend = Backend::with(move |request| match request.id().starts_with("r-held") {
-        true => Reply::Delayed(gate.clone(), ok("held")),
-        false => Reply::Write(ok("prompt")),
-    });
+/// A proxy with one backend, which delays requests named `r-held` until the latch opens.
+fn proxy_with_delays(latch: &Latch) -> (Backend, Discovery, Proxy) {
+    let backend = delaying_backend(latch, "r-held");
     let discovery = Discovery::new();
     discovery.publish(&list(1, true, &[host("s-0", backend.address, "up", 0)]));
     let setup = Setup { has_admin: true, deadline_ms: 60_000, ..Setup::default() };
@@ -26,12 +23,7 @@
 
 /// Requests that the backend delays: more than it has slots, so that what follows waits.
 fn fill_slots(proxy: &Proxy) -> Vec<Client> {
-    let held = |number| {
-        let mut client = proxy.client();
-        client.send(&submit(&format!("r-held-{number}"), "60", "x"));
-        client
-    };
-    let clients = (0..12).map(held).collect();
+    let clients = send_delayed_requests(proxy);
     wait_for("requests that wait", || proxy.waiting() > 0);
     clients
 }
@@ -45,9 +37,9 @@
 
 #[test]
 fn waiting_request_with_long_body_is_rejected_in_time() {
-    let gate = Gate::default();
-    let (backend, _discovery, proxy) = proxy_with_delays(&gate);
-    let _held = fill_slots(&proxy);
+    let latch = Latch::default();
+    let (backend, _discovery, proxy) = proxy_with_delays(&latch);
+    let _delayed = fill_slots(&proxy);
     let mut client = proxy.client();
     client.send(&submit("r-long", "1", &"x".repeat(LONG_BODY)));
     let sent_at = Instant::now();
@@ -56,20 +48,20 @@
     assert!(response.header("retry-after").is_some());
     assert!(sent_at.elapsed() < Duration::from_secs(10), "{:?}", sent_at.elapsed());
     assert!(backend.requests().iter().all(|request| request.id() != "r-long"));
-    gate.open();
+    latch.open();
 }
 
 #[test]
 fn waiting_request_with_long_body_sends_its_remaining_time() {
-    let gate = Gate::default();
-    let (backend, _discovery, proxy) = proxy_with_delays(&gate);
-    let _held = fill_slots(&proxy);
+    let latch = Latch::default();
+    let (backend, _discovery, proxy) = proxy_with_delays(&latch);
+    let _delayed = fill_slots(&proxy);
     let mut client = proxy.client();
     client.send(&submit("r-long", "20", &"x".repeat(LONG_BODY)));
     let sent_at = Instant::now();
     std::thread::sleep(Duration::from_millis(800));
     let waited = sent_at.elapsed().as_secs_f64();
-    gate.open();
+    latch.open();
     assert_eq!(client.response().expect("a response").status(), 200);
     let remaining = remaining_time(&backend, "r-long");
     assert!(remaining <= 20.0 - waited + TOLERANCE, "{remaining} s after {waited} s");
@@ -77,15 +69,15 @@
 
 #[test]
 fn pipelined_request_sends_its_remaining_time() {
-    let gate = Gate::default();
-    let (backend, _discovery, proxy) = proxy_with_delays(&gate);
+    let latch = Latch::default();
+    let (backend, _discovery, proxy) = proxy_with_delays(&latch);
     let mut client = proxy.client();
     client.send(&(submit("r-held", "20", "x") + &submit("r-behind", "20", "x")));
     let sent_at = Instant::now();
     wait_for("the first request", || backend.requests().len() == 1);
     std::thread::sleep(Duration::from_millis(800));
     let waited = sent_at.elapsed().as_secs_f64();
-    gate.open();
+    latch.open();
     assert_eq!(client.response().expect("a response").text(), "held");
     assert_eq!(client.response().expect("a response").text(), "prompt");
     let remaining = remaining_time(&backend, "r-behind");
--- a/crates/cli/tests/sockets/cancellation.rs
+++ b/crates/cli/tests/sockets/cancellation.rs
@@ -3,7 +3,7 @@
 use std::io::Read;
 use std::net::TcpStream;
 
-use super::backend::{Backend, Gate, Reply, ok};
+use super::backend::{Backend, Latch, Reply, ok};
 use super::client::{Client, page, submit};
 use super::discovery::{Discovery, list};
 use super::listener::wait_for_close;
@@ -84,23 +84,28 @@
     wait_for("the count of open requests", || proxy.stat("/pending") == count);
 }
 
-/// A backend that delays requests with this prefix until the gate opens, and answers all others.
-pub fn delaying_backend(gate: &Gate, prefix: &'static str) -> Backend {
-    let gate = gate.clone();
+/// A backend that delays requests with this prefix until the latch opens, and answers all others.
+pub fn delaying_backend(latch: &Latch, prefix: &'static str) -> Backend {
+    let latch = latch.clone();
     Backend::with(move |request| match request.id().starts_with(prefix) {
-        true => Reply::Delayed(gate.clone(), ok("held")),
+        true => Reply::Delayed(latch.clone(), ok("held")),
         false => Reply::Write(ok("prompt")),
     })
 }
 
-/// Twelve requests that the backend delays: more than it has slots, so that what follows waits.
-pub fn fill_slots(proxy: &Proxy) -> Vec<Client> {
+/// Sends twelve requests that the backend delays: more than it has slots, so that what follows waits.
+pub fn send_delayed_requests(proxy: &Proxy) -> Vec<Client> {
     let client = |number| {
         let mut client = proxy.client();
         client.send(&submit(&format!("r-held-{number}"), "60", "x"));
         client
     };
-    let clients = (0..12).map(client).collect();
+    (0..12).map(client).collect()
+}
+
+/// Sends twelve requests that the backend delays, and waits until the proxy has them all.
+pub fn fill_slots(proxy: &Proxy) -> Vec<Client> {
+    let clients = send_delayed_requests(proxy);
     wait_for_pending(proxy, 12);
     clients
 }
--- a/crates/cli/tests/sockets/slow_writers.rs
+++ b/crates/cli/tests/sockets/slow_writers.rs
@@ -3,7 +3,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::backend::{Backend, Gate};
+use super::backend::{Backend, Latch};
 use super::cancellation::{delaying_backend, fill_slots, wait_for_pending};
 use super::client::{Client, page, submit};
 use super::discovery::{Discovery, all_up};
@@ -29,7 +29,7 @@
 
 /// A proxy whose one backend answers requests named `r-held` only once it is released, and all others promptly.
 pub struct Site {
-    pub release: Gate,
+    pub release: Latch,
     backend: Backend,
     pub proxy: Proxy,
     _discovery: Discovery,
@@ -37,7 +37,7 @@
 
 impl Site {
     pub fn new() -> Self {
-        let release = Gate::default();
+        let release = Latch::default();
         let backend = delaying_backend(&release, "r-held");
         let discovery = Discovery::new();
         discovery.publish(&all_up(&[&backend]));
