--- a/crates/cli/tests/sockets/client.rs
+++ b/crates/cli/tests/sockets/client.rs
@@ -21,6 +21,11 @@
         let _ = self.0.get_mut().write_all(text.as_bytes()); // a closed connection shows at the response
     }
 
+    /// From now on each text is sent at once, before the one sent before it is acknowledged.
+    pub fn set_nodelay(&self) {
+        self.0.get_ref().set_nodelay(true).expect("a connection");
+    }
+
     pub fn response(&mut self) -> Option<Message> {
         read_message(&mut self.0)
     }
