A head's raw bytes prove that its length is given once only if they are the whole head

Callers saw: a head with both Content-Length and Transfer-Encoding was accepted, and hid a second request, if a part of it arrived with the request before on the same connection, or if it was longer than 16 KB.

Cause: Frontend::admit looked for the second length in Client::raw_head and took its absence there for its absence in the head. The record begins when the connection is idle again (client_socket.rs, start_head), so it lacks what hyper read while the request before was in flight; and it ends after MAX_HEAD_BYTES, while hyper takes a longer head that one read completes: its bound holds between reads, and behind a long body its buffer has room for up to 24 KB.

Evidence: cut at every byte behind four kinds of requests in flight, the request is accepted from the first cut on that leaves "Content-Length" incomplete.

Change: frontend/raw_head.rs. The bytes prove something only if they are the whole head: the first line ends with the version, an empty line ends them, and they hold as many headers as hyper shows. If the start is missing, either the first line is none, or hyper shows headers that the record lacks; a content length cannot make up for one of them, as its value would end with the version. This holds whenever hyper reads, so nothing has to be known of its buffer. Heads without Transfer-Encoding are not looked at. A chunked request whose head is over 16 KB is now always rejected, as most were; one that is pipelined whole is rejected as before.

--- a/crates/proxy/src/frontend/admission.rs
+++ b/crates/proxy/src/frontend/admission.rs
@@ -6,15 +6,13 @@
 use hyper::http::request;
 
 use super::Frontend;
+use super::raw_head::has_no_content_length;
 use super::received::ReceivedHead;
 use crate::body_stream::MAX_BODY_BYTES;
 use crate::head::{self, RequestMeta};
 use crate::open_ids::OpenId;
 use crate::rejection::Rejection;
 
-/// The header whose absence in the raw head of a chunked request proves that its length is given once.
-const CONTENT_LENGTH: &[u8] = b"content-length";
-
 /// A request that is accepted, by its head.
 pub(super) struct AcceptedHead {
     pub(super) meta: RequestMeta,
@@ -32,7 +30,7 @@
         let (head, body) = request.into_parts();
         // Hyper shows only one of two lengths, and one of them lies or hides a second request.
         let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
-        if is_chunked && raw_head.is_none_or(|raw_head| has_content_length(&raw_head)) {
+        if is_chunked && !raw_head.is_some_and(|raw_head| has_no_content_length(&raw_head, &head.headers)) {
             return Err(Rejection::AmbiguousLength);
         }
         if body.size_hint().lower() > MAX_BODY_BYTES {
@@ -51,17 +49,3 @@
         head::read(&self.classes.borrow(), request.method(), request.uri(), request.headers(), number)
     }
 }
-
-/// Whether a raw head has a content length.
-fn has_content_length(raw_head: &[u8]) -> bool {
-    raw_head
-        .trim_ascii_start()
-        .split(|byte| *byte == b'\n')
-        .map(|line| line.strip_suffix(b"\r").unwrap_or(line))
-        .take_while(|line| !line.is_empty())
-        .any(is_content_length)
-}
-
-fn is_content_length(line: &[u8]) -> bool {
-    line.get(..CONTENT_LENGTH.len()).is_some_and(|name| name.eq_ignore_ascii_case(CONTENT_LENGTH))
-}
--- a/crates/proxy/src/frontend/client.rs
+++ b/crates/proxy/src/frontend/client.rs
@@ -55,7 +55,7 @@
     pub(super) closes_with_response: Cell<bool>,
     /// The connection has been closed between two requests.
     pub(super) closed_while_idle: Cell<bool>,
-    /// The raw bytes of the head being read.
+    /// The raw bytes of the head being read, without what was read before its connection was idle.
     pub(super) raw_head: RefCell<Vec<u8>>,
     /// Notices that it takes nothing of a streamed response.
     pub(super) write_watchdog: WriteWatchdog,
--- a/crates/proxy/src/frontend/client_socket.rs
+++ b/crates/proxy/src/frontend/client_socket.rs
@@ -46,7 +46,7 @@
 
     fn append_to_head(&self, bytes: &[u8]) {
         let mut raw_head = self.client.raw_head.borrow_mut();
-        let capacity = (MAX_HEAD_BYTES + 1).saturating_sub(raw_head.len()); // hyper accepts no longer one
+        let capacity = (MAX_HEAD_BYTES + 1).saturating_sub(raw_head.len()); // a longer one has no end here
         raw_head.extend_from_slice(&bytes[..bytes.len().min(capacity)]);
     }
 }
--- a/crates/proxy/src/frontend/mod.rs
+++ b/crates/proxy/src/frontend/mod.rs
@@ -8,7 +8,8 @@
 //!    `write_watchdog` notices a client that takes nothing of its response.
 //! 3. `service` is called for each request once its head is `received`. It rejects the request if too many are in
 //!    flight.
-//! 4. `admission` checks the head, and `body` receives the body, completely or up to what is buffered.
+//! 4. `admission` checks the head, a chunked request's by its `raw_head` too, and `body` receives the body, completely
+//!    or up to what is buffered.
 //! 5. `forward` submits the request to the driver, waits for the final answer while the rest of a streamed body is
 //!    received, and notifies the driver if the client disconnects first (`cancellation`).
 //! 6. `response` turns the answer into the client's response. The request ends with it, or with the last byte of a
@@ -28,6 +29,7 @@
 mod forwarded_head;
 mod linger;
 mod listener;
+mod raw_head;
 mod received;
 mod response;
 mod service;
--- a/crates/proxy/src/frontend/received.rs
+++ b/crates/proxy/src/frontend/received.rs
@@ -14,7 +14,8 @@
     /// When its first byte was read.
     pub(super) started_at: Instant,
     pub(super) arrived_at: Instant,
-    /// The head's raw bytes, if they could be told apart from the previous request's.
+    /// The head's raw bytes, if they could be told apart from the previous request's. Their start is missing if it was
+    /// read with that one, their end if the head is long.
     pub(super) raw_head: Option<Vec<u8>>,
 }
 
