A head behind a body that was answered unread is not taken for known byte by byte

Callers saw: two lengths in one head were accepted behind the end of a body that the proxy does not read, such as that of POST /up, if that end looked like a head. A second request could be hidden so.

Cause: when the service drops a body, hyper reads one more piece of it (poll_drain_or_close_read). By then the connection is idle, so ClientSocket::start_head begins the record of the next head with the end of the body, and the check looks at that.

Change: BodyReceiver tells the client's state when it has received the end of a body (Client::body_ended). If it has not when the next head comes, that head's bytes count as not known, as those of a pipelined one do. The state starts anew with each request, so only the next one is concerned, and of these only one with Transfer-Encoding.

--- a/crates/proxy/src/body_upload.rs
+++ b/crates/proxy/src/body_upload.rs
@@ -1,5 +1,7 @@
 //! Receives clients' bodies at the pace that a client has to keep, and forwards the rest of those that are streamed.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -35,17 +37,21 @@
     /// How long the client has been waited for.
     waited: Duration,
     received: usize,
+    /// Set once the end has been received.
+    ended: Rc<Cell<bool>>,
 }
 
 impl BodyReceiver {
-    /// A small body has the time that is left for the complete request, until `deadline`.
-    pub fn new(body: Incoming, deadline: Instant) -> Self {
+    /// A small body has the time that is left for the complete request, until `deadline`. Sets `ended` once its end has
+    /// been received.
+    pub fn new(body: Incoming, deadline: Instant, ended: Rc<Cell<bool>>) -> Self {
         let remaining = deadline.saturating_duration_since(Instant::now());
         BodyReceiver {
             body,
             allowed_lag: remaining.max(MIN_ALLOWED_LAG),
             waited: Duration::ZERO,
             received: 0,
+            ended,
         }
     }
 
@@ -68,7 +74,10 @@
             self.waited += started_at.elapsed();
             match frame {
                 Err(_) => return Err(BodyError::TooSlow),
-                Ok(None) => return Ok(None),
+                Ok(None) => {
+                    self.ended.set(true);
+                    return Ok(None);
+                }
                 Ok(Some(Err(_))) => return Err(BodyError::Malformed),
                 // Trailers of a chunked body are not forwarded.
                 Ok(Some(Ok(frame))) => {
--- a/crates/proxy/src/frontend/body.rs
+++ b/crates/proxy/src/frontend/body.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::Frontend;
+use super::client::Client;
 use crate::body_memory::MemoryReservation;
 use crate::body_stream::BodyStream;
 use crate::body_upload::{BodyError, BodyReceiver, PartialBody, forward_body};
@@ -36,12 +37,13 @@
 }
 
 impl Frontend {
-    /// Receives a request's body until `deadline`, as far as it is buffered. The response to a streamed one may take
+    /// Receives a request's body until its deadline, as far as it is buffered. The response to a streamed one may take
     /// `response_timeout` from its last byte on, less the time that it has waited for an attempt.
     pub(super) async fn receive_body(
-        &self, body: Incoming, deadline: Instant, id: RequestId, response_timeout: Duration,
+        &self, body: Incoming, client: &Client, id: RequestId, response_timeout: Duration,
     ) -> Result<ReceivedBody<impl Future<Output = Result<(), BodyError>>>, BodyError> {
-        let partial = match self.read_ahead(body, deadline).await? {
+        let receiver = BodyReceiver::new(body, client.request_deadline.get(), client.body_ended.clone());
+        let partial = match self.read_ahead(receiver).await? {
             ReadAhead::Complete { bytes, memory } => {
                 let body = RequestBody::Buffered { bytes, _memory: memory };
                 return Ok(ReceivedBody { body, upload: None });
@@ -69,8 +71,7 @@
     }
 
     /// Receives a body to its end, or as far as there is memory for it.
-    async fn read_ahead(&self, body: Incoming, deadline: Instant) -> Result<ReadAhead, BodyError> {
-        let mut receiver = BodyReceiver::new(body, deadline);
+    async fn read_ahead(&self, mut receiver: BodyReceiver) -> Result<ReadAhead, BodyError> {
         let mut read = BytesMut::new();
         let mut memory = None;
         while let Some(data) = receiver.next().await? {
--- a/crates/proxy/src/frontend/client.rs
+++ b/crates/proxy/src/frontend/client.rs
@@ -57,6 +57,8 @@
     pub(super) closed_while_idle: Cell<bool>,
     /// The raw bytes of the head being read, without what was read before its connection was idle.
     pub(super) raw_head: RefCell<Vec<u8>>,
+    /// The body of its latest request has been received to its end, if it has one.
+    pub(super) body_ended: Rc<Cell<bool>>,
     /// Notices that it takes nothing of a streamed response.
     pub(super) write_watchdog: WriteWatchdog,
     /// Asks the connection's task to close it.
@@ -89,6 +91,7 @@
             closes_with_response: Cell::new(false),
             closed_while_idle: Cell::new(false),
             raw_head: RefCell::default(),
+            body_ended: Rc::new(Cell::new(true)),
             write_watchdog: WriteWatchdog::new(now),
             close: Notify::new(),
             close_reason: Cell::new(None),
--- a/crates/proxy/src/frontend/forward.rs
+++ b/crates/proxy/src/frontend/forward.rs
@@ -82,7 +82,7 @@
         };
         let id = RequestId(self.next_number());
         let receive_started_at = Instant::now();
-        let received = self.receive_body(body, client.request_deadline.get(), id, meta.timeout).await;
+        let received = self.receive_body(body, client, id, meta.timeout).await;
         let ReceivedBody { body, upload } = match received {
             Ok(received) => received,
             Err(error) => return Ok(rejection_response(error.into())),
--- a/crates/proxy/src/frontend/received.rs
+++ b/crates/proxy/src/frontend/received.rs
@@ -1,7 +1,7 @@
 //! A request of which hyper has read the head, and when that arrived.
 
 use hyper::Request;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use tokio::time::Instant;
 
 use super::REQUEST_TIMEOUT;
@@ -27,7 +27,10 @@
         if pipelined {
             client.request_deadline.set(Instant::now() + REQUEST_TIMEOUT);
         }
-        let raw_head = (!pipelined).then(|| client.raw_head.take());
+        // Nor if that one was answered before the end of its body: hyper read the rest since.
+        let previous_body_ended = client.body_ended.replace(request.body().is_end_stream());
+        let seen_apart = previous_body_ended && !pipelined;
+        let raw_head = seen_apart.then(|| client.raw_head.take());
         let arrived_at = arrival_time(client, pipelined);
         let is_timed = client.stage.get() == Stage::ReadingHead;
         let started_at = if is_timed { client.stage_since.get() } else { arrived_at };
