--- a/crates/proxy/src/frontend/client.rs
+++ b/crates/proxy/src/frontend/client.rs
@@ -57,8 +57,10 @@
     pub(super) closed_while_idle: Cell<bool>,
     /// When the first byte of the head being read was read; line breaks before a head are no part of it.
     pub(super) head_started_at: Cell<Instant>,
-    /// The raw bytes of the head being read.
+    /// The raw bytes of the head being read, without what was read before its connection was idle.
     pub(super) raw_head: RefCell<Vec<u8>>,
+    /// The body of its latest request has been received to its end, if it has one.
+    pub(super) body_ended: Rc<Cell<bool>>,
     /// Notices that it takes nothing of a streamed response.
     pub(super) write_watchdog: WriteWatchdog,
     /// Asks the connection's task to close it.
@@ -92,6 +94,7 @@
             closed_while_idle: Cell::new(false),
             head_started_at: Cell::new(now),
             raw_head: RefCell::default(),
+            body_ended: Rc::new(Cell::new(true)),
             write_watchdog: WriteWatchdog::new(now),
             close: Notify::new(),
             close_reason: Cell::new(None),
--- a/crates/proxy/src/frontend/client_socket.rs
+++ b/crates/proxy/src/frontend/client_socket.rs
@@ -49,7 +49,7 @@
         if raw_head.trim_ascii_start().is_empty() {
             self.client.head_started_at.set(Instant::now());
         }
-        let capacity = (MAX_HEAD_BYTES + 1).saturating_sub(raw_head.len()); // hyper accepts no longer one
+        let capacity = (MAX_HEAD_BYTES + 1).saturating_sub(raw_head.len()); // a longer one has no end here
         raw_head.extend_from_slice(&bytes[..bytes.len().min(capacity)]);
     }
 }
