--- a/crates/cli/tests/conflicting_lengths.rs
+++ b/crates/cli/tests/conflicting_lengths.rs
@@ -22,29 +22,29 @@
     submit(id, "5", "").replace("Content-Length: 0", "Transfer-Encoding: chunked") + "4\r\nbody\r\n0\r\n\r\n"
 }
 
-/// A backend that holds the requests `r-held` until its gate opens, which is a new one each time, and streams its
+/// A backend that holds the requests `r-held` until its latch opens, which is a new one each time, and streams its
 /// responses to pages.
-fn holding_backend() -> (Backend, Arc<Mutex<Gate>>) {
-    let gate = Arc::<Mutex<Gate>>::default();
-    let backend_gate = gate.clone();
+fn holding_backend() -> (Backend, Arc<Mutex<Latch>>) {
+    let latch = Arc::<Mutex<Latch>>::default();
+    let backend_latch = latch.clone();
     let backend = Backend::with(move |request| {
-        let gate = backend_gate.lock().unwrap().clone();
+        let latch = backend_latch.lock().unwrap().clone();
         match request.id() {
             "r-held" if request.first_line.starts_with("GET") => {
                 let response = ok(&"x".repeat(STREAMED_BODY_BYTES));
                 let (start, rest) = response.split_at(STREAMED_BODY_BYTES / 2);
-                Reply::InParts(start.into(), gate, rest.into())
+                Reply::InParts(start.into(), latch, rest.into())
             }
-            "r-held" => Reply::Delayed(gate, ok("")),
+            "r-held" => Reply::Delayed(latch, ok("")),
             _ => Reply::Write(ok("")),
         }
     });
-    (backend, gate)
+    (backend, latch)
 }
 
 #[test]
 fn two_lengths_begun_behind_another_request_are_rejected() {
-    let (backend, gate) = holding_backend();
+    let (backend, latch) = holding_backend();
     let (_discovery, proxy) = proxy_with(&[&backend]);
     let held = [page("r-held"), submit("r-held", "5", ""), submit("r-held", "5", "body"), chunked("r-held")];
     for split_at in 1..=TWO_LENGTHS.len() {
@@ -54,7 +54,7 @@
         let mut client = proxy.client();
         client.send(&format!("{held}{start}"));
         wait_for("the held request", || backend.requests().len() == seen + 1);
-        std::mem::take(&mut *gate.lock().unwrap()).open();
+        std::mem::take(&mut *latch.lock().unwrap()).open();
         assert_eq!(status(client.response()), 200, "{held}");
         client.send(rest);
         let (status, closed) = client.last_response().expect("a response");
