--- a/crates/core/src/estimators/client_timeouts.rs
+++ b/crates/core/src/estimators/client_timeouts.rs
@@ -21,20 +21,20 @@
 
 /// A timeout that a client announced.
 #[derive(Clone, Copy)]
-struct Announcement {
+struct AnnouncedTimeout {
     timeout: Millis,
     at: Millis,
 }
 
 /// The latest announcements of a group, newest first.
-type Announcements = [Option<Announcement>; SAMPLES];
+type AnnouncedTimeouts = [Option<AnnouncedTimeout>; SAMPLES];
 
 /// The latest announcements of each group. A group that announces nothing for long is forgotten.
 #[derive(Default)]
 pub(crate) struct ClientTimeouts {
-    current: FxHashMap<ClientGroup, Announcements>,
+    current: FxHashMap<ClientGroup, AnnouncedTimeouts>,
     /// Groups that have announced nothing since the maps were rotated.
-    previous: FxHashMap<ClientGroup, Announcements>,
+    previous: FxHashMap<ClientGroup, AnnouncedTimeouts>,
     rotated_at: Millis,
 }
 
@@ -46,14 +46,14 @@
         let announcements =
             self.current.entry(group).or_insert_with(|| previous.remove(&group).unwrap_or_default());
         announcements.rotate_right(1);
-        announcements[0] = Some(Announcement { timeout, at: now });
+        announcements[0] = Some(AnnouncedTimeout { timeout, at: now });
     }
 
     /// The longest of the latest announcements of a group, by which its clients agree that they wait no longer; `None`
     /// if too few have announced anything lately.
     pub fn agreed_maximum(&self, group: ClientGroup, now: Millis) -> Option<Millis> {
         let announcements = self.current.get(&group).or_else(|| self.previous.get(&group))?;
-        let recent = |announcement: &Announcement| now - announcement.at <= MAX_AGE;
+        let recent = |announcement: &AnnouncedTimeout| now - announcement.at <= MAX_AGE;
         announcements
             .iter()
             .map(|announcement| announcement.filter(recent).map(|announcement| announcement.timeout))
