An abandoned request frees its connection at a backend that does not read

Each long body that was sent to a hanging backend held its connection for good, also after its client had left; after 56 of them (a quarter of 224 descriptors) every request was refused.

The client connections of the same requests have unread bytes, so the proxy does not wait for the clients.

Cause: an attempt sees that its request is abandoned only at its next write (RequestProgress::may_write_more). If the backend reads nothing there is no next write, and exchange_with_timeout has no time limit for a streamed request before its last byte.

Fix: the state of a request notifies its attempts when it is abandoned, and an attempt that is between its first and its last byte then ends as withdrawn. It can't have run: the rest is never written. A request that is completely written is waited for as before, and one without its first byte is stopped by the guard as before. Both kinds of bodies take this path.

--- a/crates/proxy/src/driver/open_requests.rs
+++ b/crates/proxy/src/driver/open_requests.rs
@@ -15,7 +15,7 @@
 use crate::classes::ClassLease;
 use crate::inbox::{Arrival, FinalResponse};
 use crate::open_ids::ReservedRequestId;
-use crate::upstream::{RequestState, UpstreamRequest, UpstreamResponse};
+use crate::upstream::{RequestState, SharedRequestState, UpstreamRequest, UpstreamResponse};
 
 /// If a request has no final response this long before its deadline, the driver itself responds to it.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(4);
@@ -30,7 +30,7 @@
     pub(super) response_sender: Option<oneshot::Sender<FinalResponse>>,
     /// The state of the request, shared with its attempts. An attempt may start only while the request is pending, and
     /// stops writing an incomplete request once the request is abandoned.
-    pub(super) state: Rc<Cell<RequestState>>,
+    pub(super) state: Rc<SharedRequestState>,
     pub(super) message: Rc<UpstreamRequest>,
     /// When the client stops waiting, or the deadline of the shutdown if that is earlier. While an attempt reads a body
     /// that is forwarded while it is received, `MAX_UPLOAD_TIME` takes the place of the client's timeout.
@@ -59,7 +59,7 @@
     fn new(arrival: Arrival, deadline: Instant, now: Instant) -> Self {
         OpenRequest {
             response_sender: Some(arrival.response_sender),
-            state: Rc::new(Cell::new(RequestState::Pending)),
+            state: Rc::new(SharedRequestState::pending()),
             message: Rc::new(arrival.message),
             deadline,
             timeout_after_upload: arrival.timeout_after_upload,
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -1,13 +1,12 @@
 //! Runs one attempt: gets a connection, sends one request on it, and returns the connection to the pool.
 
-use std::cell::Cell;
 use std::rc::Rc;
 
 use http_body_util::{Either, Full};
 use hyper::Request;
 use hyper::body::Body as _;
 use leadrelay_core::Outcome;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 use tracing::{info, warn};
 
 use super::attempt_request::AttemptRequest;
@@ -20,7 +19,7 @@
 use super::relay::{RelayError, relay};
 use super::request::{MessageBody, RequestBody, UpstreamRequest};
 use super::request_progress::RequestProgress;
-use super::request_state::RequestState;
+use super::request_state::{RequestState, SharedRequestState};
 use super::response::UpstreamResponse;
 use crate::body_stream::BodyStream;
 
@@ -38,7 +37,7 @@
 struct Attempt<'a> {
     pool: &'a UpstreamPool,
     endpoint: Rc<UpstreamEndpoint>,
-    state: Rc<Cell<RequestState>>,
+    state: Rc<SharedRequestState>,
     request: Rc<UpstreamRequest>,
     limits: AttemptLimits,
 }
@@ -65,13 +64,15 @@
     Exchange(#[from] ExchangeError),
     #[error("response timed out")]
     TimedOut,
+    #[error("request abandoned before it was completely written")]
+    Abandoned,
 }
 
 impl UpstreamPool {
     /// Runs one attempt. Calls `report` exactly once, with the outcome and the response for the client if there is one,
     /// before the connection returns to the pool.
     pub async fn attempt(
-        &self, endpoint: Rc<UpstreamEndpoint>, state: Rc<Cell<RequestState>>, request: Rc<UpstreamRequest>,
+        &self, endpoint: Rc<UpstreamEndpoint>, state: Rc<SharedRequestState>, request: Rc<UpstreamRequest>,
         limits: AttemptLimits, report: impl FnOnce(Outcome, Option<UpstreamResponse>),
     ) {
         let attempt = Attempt { pool: self, endpoint, state, request, limits };
@@ -175,16 +176,28 @@
                 () = progress.response.stalled() => Err(ExchangeError::Stalled),
             }
         };
+        tokio::select! {
+            biased;
+            exchange = exchange => Ok(exchange?),
+            () = self.response_timed_out(&progress) => Err(SendError::TimedOut),
+            () = self.abandoned_while_writing(&progress) => Err(SendError::Abandoned),
+        }
+    }
+
+    async fn response_timed_out(&self, progress: &RequestProgress) {
         match &self.request.body {
-            RequestBody::Buffered { .. } => {
-                let result = timeout_at(self.limits.deadline, exchange).await;
-                Ok(result.map_err(|_| SendError::TimedOut)??)
-            }
-            RequestBody::Streamed(_) => tokio::select! {
-                biased;
-                exchange = exchange => Ok(exchange?),
-                () = progress.response_timed_out() => Err(SendError::TimedOut),
-            },
+            RequestBody::Buffered { .. } => sleep_until(self.limits.deadline).await,
+            RequestBody::Streamed(_) => progress.response_timed_out().await,
+        }
+    }
+
+    /// Waits until the request is abandoned after its first byte and before its last. A backend that does not read
+    /// would block the rest of the request forever, and with it the connection. A request that is completely written
+    /// may run, so the attempt goes on until its outcome is known.
+    async fn abandoned_while_writing(&self, progress: &RequestProgress) {
+        self.state.abandoned().await;
+        if !progress.has_started() || progress.is_complete() {
+            std::future::pending().await
         }
     }
 
@@ -241,6 +254,7 @@
     fn failure_outcome(&self, error: SendError, progress: &RequestProgress) -> Outcome {
         match error {
             SendError::Exchange(_) if progress.was_withdrawn() => Outcome::Withdrawn,
+            SendError::Abandoned => Outcome::Withdrawn,
             _ if !progress.is_complete() => Outcome::ConnectFailed,
             SendError::Exchange(error) => {
                 self.log_failed_response(&error);
--- a/crates/proxy/src/upstream/guard.rs
+++ b/crates/proxy/src/upstream/guard.rs
@@ -9,7 +9,7 @@
 
 use super::availability::Availability;
 use super::request::UpstreamRequest;
-use super::request_state::RequestState;
+use super::request_state::{RequestState, SharedRequestState};
 use crate::denial::Denial;
 
 /// Longest tolerated pause of the process between reading the clock and writing. Deadlines and the validity of the
@@ -24,7 +24,7 @@
     /// Whether the endpoint accepts new requests.
     pub(super) availability: Rc<Availability>,
     /// Whether the request still needs a response.
-    pub(super) state: Rc<Cell<RequestState>>,
+    pub(super) state: Rc<SharedRequestState>,
     /// The request, which provides its id and the check of its client.
     pub(super) request: Rc<UpstreamRequest>,
     /// The instant from which the attempt may no longer start: the end of the request's idempotency window. Set if an
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -44,7 +44,7 @@
 pub use headers::remove_hop_by_hop_headers;
 pub use pool::UpstreamPool;
 pub use request::{MessageBody, RequestBody, Upload, UpstreamRequest};
-pub use request_state::RequestState;
+pub use request_state::{RequestState, SharedRequestState};
 pub use response::UpstreamResponse;
 
 #[cfg(test)]
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -30,8 +30,8 @@
     Rc::new(Cell::new(Instant::now() + Duration::from_secs(3600)))
 }
 
-fn pending_state() -> Rc<Cell<RequestState>> {
-    Rc::new(Cell::new(RequestState::Pending))
+fn pending_state() -> Rc<SharedRequestState> {
+    Rc::new(SharedRequestState::pending())
 }
 
 fn upstream_request(body: Bytes, client_disconnected: bool) -> Rc<UpstreamRequest> {
@@ -65,7 +65,7 @@
 
 /// Starts an attempt at the listener's address. The returned task yields the reported outcome.
 fn start_attempt(
-    pool: &Rc<UpstreamPool>, listener: &TcpListener, body: Bytes, state: &Rc<Cell<RequestState>>,
+    pool: &Rc<UpstreamPool>, listener: &TcpListener, body: Bytes, state: &Rc<SharedRequestState>,
 ) -> JoinHandle<Option<Outcome>> {
     let endpoint = UpstreamEndpoint::new(listener.local_addr().expect("no local address"), 0.0);
     pool.add_endpoint(&endpoint);
@@ -74,14 +74,14 @@
 
 /// Starts an attempt at an endpoint that may have idle connections.
 fn start_attempt_at(
-    pool: &Rc<UpstreamPool>, endpoint: &Rc<UpstreamEndpoint>, body: Bytes, state: &Rc<Cell<RequestState>>,
+    pool: &Rc<UpstreamPool>, endpoint: &Rc<UpstreamEndpoint>, body: Bytes, state: &Rc<SharedRequestState>,
 ) -> JoinHandle<Option<Outcome>> {
     start_request_at(pool, endpoint, upstream_request(body, false), state)
 }
 
 fn start_request_at(
     pool: &Rc<UpstreamPool>, endpoint: &Rc<UpstreamEndpoint>, request: Rc<UpstreamRequest>,
-    state: &Rc<Cell<RequestState>>,
+    state: &Rc<SharedRequestState>,
 ) -> JoinHandle<Option<Outcome>> {
     let pool = pool.clone();
     let endpoint = endpoint.clone();
@@ -221,9 +221,30 @@
     }
 }
 
+/// Guards against an abandoned request that holds its connection because the backend reads nothing of it.
+#[test]
+fn abandoned_request_frees_its_connection_at_a_backend_that_does_not_read() {
+    run_test(async {
+        let listener = listen().await;
+        let pool = new_pool(1);
+        let state = pending_state();
+        let size = 30 << 20; // more than the operating system's socket buffers hold
+        let attempt = start_attempt(&pool, &listener, vec![0; size].into(), &state);
+        let (_unread, _) = listener.accept().await.expect("accept failed");
+        // The pause lets the proxy fill the socket buffers; it does not wait for an event.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(pool.sockets_in_use(), 1);
+        state.set(RequestState::Abandoned);
+        assert_eq!(attempt.await.expect("attempt panicked"), Some(Outcome::Withdrawn));
+        while pool.sockets_in_use() > 0 {
+            tokio::task::yield_now().await;
+        }
+    });
+}
+
 /// Makes an endpoint with one idle connection. Returns the endpoint and the backend's end of the connection.
 async fn idle_connection(
-    pool: &Rc<UpstreamPool>, listener: &TcpListener, state: &Rc<Cell<RequestState>>,
+    pool: &Rc<UpstreamPool>, listener: &TcpListener, state: &Rc<SharedRequestState>,
 ) -> (Rc<UpstreamEndpoint>, TcpStream) {
     let endpoint = UpstreamEndpoint::new(listener.local_addr().expect("no local address"), 0.0);
     pool.add_endpoint(&endpoint);
--- a/crates/proxy/src/upstream/tests/units.rs
+++ b/crates/proxy/src/upstream/tests/units.rs
@@ -19,7 +19,7 @@
 use crate::upstream::request::UpstreamRequest;
 use crate::upstream::request_framing::{RequestFraming, UNKNOWN_LENGTH};
 use crate::upstream::request_progress::RequestProgress;
-use crate::upstream::request_state::RequestState;
+use crate::upstream::request_state::{RequestState, SharedRequestState};
 
 /// ENOMEM, ENFILE, EMFILE, EADDRINUSE, EADDRNOTAVAIL, ENOBUFS.
 const LOCAL_ERRORS: [i32; 6] = [12, 23, 24, 98, 99, 105];
@@ -30,7 +30,7 @@
 struct StartedRequest {
     progress: RequestProgress,
     endpoint: Rc<UpstreamEndpoint>,
-    state: Rc<Cell<RequestState>>,
+    state: Rc<SharedRequestState>,
 }
 
 impl StartedRequest {
