The client's timeout runs while a backend takes its body slowly or not at all

A request with a body of 5 to 6.5 MB that was sent to a hanging backend never got a response, and one whose body a slow backend took over seconds got it seconds after its client's time.

By ss the proxy holds about 3.8 MB unsent for each of them to the stopped backend and 0.15 to 0.25 MB unread from its client; the rest is in the client's send buffer. So the proxy waits for the backend, neither for the client (its bytes are there) nor for the memory of bodies (other long bodies were served meanwhile).

Cause: the client's timeout of a streamed body counted from the moment at which the attempt had read the last byte from its stream (driver/open_requests.rs, upload_started and upload_complete; attempt_request.rs, take_stream). The client's last byte is written long before, into socket buffers, and if the backend takes nothing that moment never comes. Until then the deadline was 600 s away.

Fix: UploadClock keeps the latest time at which the client can't have written its last byte: bytes that arrived at an empty socket, a rest that exceeds what the buffers of both ends hold, or a proxy that waits for the client now. Deadlines of the driver and of the attempt, and the timeout told to the backend, count from there. A client that is still writing is waited for as before.

--- a/crates/proxy/src/body_upload.rs
+++ b/crates/proxy/src/body_upload.rs
@@ -7,10 +7,13 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
 use crate::body_memory::{MemoryBudget, MemoryReservation};
 use crate::body_stream::{BodyChunk, BodySender, MAX_BODY_BYTES};
+use crate::socket::receive_buffer_size;
+use crate::upload_clock::UploadClock;
 
 /// Minimum average rate at which a client has to send its body, in bytes per second: half of the rate that clients
 /// sustain.
@@ -43,13 +46,20 @@
     bytes_received: usize,
     /// Set to true once the end of the body has been received.
     has_ended: Rc<Cell<bool>>,
+    /// The clock that determines since when the client may be waiting for its response.
+    clock: Rc<UploadClock>,
+    /// The client's socket.
+    stream: Rc<TcpStream>,
 }
 
 impl BodyReceiver {
-    /// Creates a receiver that sets `has_ended` once it has received the end of the body. The client may lag behind the
-    /// minimum rate by the time left until `deadline`, so a small body may take until the deadline of the complete
-    /// request.
-    pub fn new(body: Incoming, deadline: Instant, has_ended: Rc<Cell<bool>>) -> Self {
+    /// Creates a receiver that sets `has_ended` once it has received the end of the body, and informs `clock` of its
+    /// progress. The client may lag behind the minimum rate by the time left until `deadline`, so a small body may take
+    /// until the deadline of the complete request.
+    pub fn new(
+        body: Incoming, deadline: Instant, has_ended: Rc<Cell<bool>>, clock: Rc<UploadClock>,
+        stream: Rc<TcpStream>,
+    ) -> Self {
         let remaining = deadline.saturating_duration_since(Instant::now());
         BodyReceiver {
             body,
@@ -57,6 +67,8 @@
             time_waited: Duration::ZERO,
             bytes_received: 0,
             has_ended,
+            clock,
+            stream,
         }
     }
 
@@ -75,7 +87,9 @@
         loop {
             let max_wait = self.max_wait();
             let started_at = Instant::now();
+            self.clock.set_awaits_client(!hyper::body::Body::is_end_stream(&self.body));
             let frame = timeout(max_wait, self.body.frame()).await;
+            self.clock.set_awaits_client(false);
             self.time_waited += started_at.elapsed();
             match frame {
                 Err(_) => return Err(BodyError::TooSlow),
@@ -88,6 +102,7 @@
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
                         self.bytes_received += data.len();
+                        self.record_remaining();
                         return Ok(Some(data));
                     }
                 }
@@ -95,6 +110,13 @@
         }
     }
 
+    /// Informs the clock of how much of a body of known length has not been received.
+    fn record_remaining(&self) {
+        if let Some(remaining) = self.bytes_remaining() {
+            self.clock.record_remaining(remaining, || receive_buffer_size(&self.stream));
+        }
+    }
+
     /// The longest time to wait for the next chunk.
     fn max_wait(&self) -> Duration {
         let expected = Duration::from_secs_f64(self.bytes_received as f64 / MIN_BYTES_PER_SECOND);
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -152,7 +152,7 @@
                 self.timers.add(deadline, Timer::ShutdownDeadline);
             }
             Input::ShutdownWithoutSuccessor => self.handle(Event::Draining(true)),
-            Input::UploadStarted { request, client_timeout } => self.upload_started(request, client_timeout),
+            Input::UploadStarted(id) => self.upload_started(id),
             Input::UploadComplete(id) => self.upload_complete(id),
             Input::AttemptEnded(end) => self.attempt_ended(end),
             Input::EndpointList { scope, endpoints } => self.apply_list(scope, endpoints),
--- a/crates/proxy/src/driver/open_requests.rs
+++ b/crates/proxy/src/driver/open_requests.rs
@@ -15,7 +15,7 @@
 use crate::classes::ClassLease;
 use crate::inbox::{Arrival, FinalResponse};
 use crate::open_ids::ReservedRequestId;
-use crate::upstream::{RequestState, SharedRequestState, UpstreamRequest, UpstreamResponse};
+use crate::upstream::{RequestState, SharedRequestState, Upload, UpstreamRequest, UpstreamResponse};
 
 /// If a request has no final response this long before its deadline, the driver itself responds to it.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(4);
@@ -33,10 +33,12 @@
     pub(super) state: Rc<SharedRequestState>,
     pub(super) message: Rc<UpstreamRequest>,
     /// When the client stops waiting, or the deadline of the shutdown if that is earlier. While an attempt reads a body
-    /// that is forwarded while it is received, `MAX_UPLOAD_TIME` takes the place of the client's timeout.
+    /// that is forwarded while it is received, this is the earliest time at which the client may stop waiting, as far
+    /// as it was known when the deadline was last updated.
     pub(super) deadline: Instant,
-    /// How long the client waits after the last byte of the request's body; `None` if the body has been received.
-    timeout_after_upload: Option<Duration>,
+    /// The time by which a body that is forwarded while it is received has to be complete; `None` while no attempt
+    /// reads such a body.
+    upload_deadline: Option<Instant>,
     /// The start of the latest attempt; for a body that is forwarded while it is received, the time at which its last
     /// byte was read, once that has happened.
     pub(super) sent_at: Rc<Cell<Instant>>,
@@ -62,7 +64,7 @@
             state: Rc::new(SharedRequestState::pending()),
             message: Rc::new(arrival.message),
             deadline,
-            timeout_after_upload: arrival.timeout_after_upload,
+            upload_deadline: None,
             sent_at: Rc::new(Cell::new(now)),
             attempts: 0,
             attempts_in_flight: 0,
@@ -74,10 +76,18 @@
         }
     }
 
-    /// Whether a response sent now would violate the request's deadline. While the request's body is being received, no
-    /// response counts as late.
+    /// Whether a response sent now would violate the request's deadline.
     fn is_late(&self) -> bool {
-        self.timeout_after_upload.is_none() && self.deadline.elapsed() > LATE_RESPONSE
+        self.current_deadline().elapsed() > LATE_RESPONSE
+    }
+
+    /// When the client stops waiting, according to what is known now of a body that is forwarded while it is received.
+    fn current_deadline(&self) -> Instant {
+        let response_deadline = self.message.upload().map(Upload::response_deadline);
+        match (response_deadline, self.upload_deadline) {
+            (Some(response_deadline), Some(upload_deadline)) => response_deadline.min(upload_deadline),
+            _ => self.deadline,
+        }
     }
 }
 
@@ -100,7 +110,7 @@
             class = class.0,
             timeout_ms = timeout.round(),
             ?announcement,
-            streamed = arrival.timeout_after_upload.is_some(),
+            streamed = arrival.message.upload().is_some(),
             "request accepted"
         );
         self.open_requests.insert(id, OpenRequest::new(arrival, deadline, now));
@@ -110,29 +120,36 @@
     }
 
     /// Handles the start of an attempt that reads a body which is forwarded while it is received. From now on the body
-    /// is read, and the client's timeout is suspended until the last byte. The time up to now counts, because the
-    /// client may already have sent the whole body.
-    pub(super) fn upload_started(&mut self, id: RequestId, client_timeout: Duration) {
-        let deadline = self.limit_to_shutdown(Instant::now() + MAX_UPLOAD_TIME);
-        let uploading = self.open_requests.get_mut(&id).filter(|open| open.timeout_after_upload.is_some());
-        let Some(open) = uploading else { return };
-        open.timeout_after_upload = Some(client_timeout);
-        open.deadline = deadline;
-        self.timers.add(deadline - RESPONSE_MARGIN, Timer::ResponseDue(id));
+    /// is read, and the client's timeout counts from the time at which it may have written the last byte.
+    pub(super) fn upload_started(&mut self, id: RequestId) {
+        let Some(open) = self.open_requests.get_mut(&id) else { return };
+        open.upload_deadline = Some(Instant::now() + MAX_UPLOAD_TIME);
+        self.update_deadline(id);
         self.handle(Event::Upload { request: id, stage: UploadStage::Started });
     }
 
-    /// Handles the last byte of a body that is forwarded while it is received: the client's timeout starts now.
+    /// Handles the last byte of a body that is forwarded while it is received.
     pub(super) fn upload_complete(&mut self, id: RequestId) {
-        let now = Instant::now();
-        let uploading = self.open_requests.get_mut(&id).and_then(|open| open.timeout_after_upload.take());
-        let Some(client_timeout) = uploading else { return };
-        let deadline = self.limit_to_shutdown(now + client_timeout);
+        self.update_deadline(id);
         let Some(open) = self.open_requests.get_mut(&id) else { return };
-        open.sent_at.set(now);
-        open.deadline = deadline;
-        self.timers.add(deadline - RESPONSE_MARGIN, Timer::ResponseDue(id));
-        self.handle(Event::Upload { request: id, stage: UploadStage::Complete });
+        if open.upload_deadline.take().is_some() {
+            open.sent_at.set(Instant::now());
+            self.handle(Event::Upload { request: id, stage: UploadStage::Complete });
+        }
+    }
+
+    /// Updates the deadline of a request by the progress of its upload, and sets a timer for the new deadline.
+    fn update_deadline(&mut self, id: RequestId) {
+        let Some(open) = self.open_requests.get(&id) else { return };
+        let deadline = self.limit_to_shutdown(open.current_deadline());
+        if deadline == open.deadline {
+            return;
+        }
+        let earliest_check = Instant::now() + RESPONSE_MARGIN;
+        self.timers.add(earliest_check.max(deadline - RESPONSE_MARGIN), Timer::ResponseDue(id));
+        if let Some(open) = self.open_requests.get_mut(&id) {
+            open.deadline = deadline;
+        }
     }
 
     /// The earlier of `deadline` and the deadline of the shutdown, if the process is shutting down.
@@ -140,8 +157,9 @@
         self.shutdown_deadline.map_or(deadline, |shutdown| shutdown.min(deadline))
     }
 
-    /// Responds to a request whose deadline is near, unless the deadline has been extended.
+    /// Responds to a request whose deadline is near, unless the client turns out to be still writing.
     pub(super) fn respond_if_due(&mut self, id: RequestId, now: Instant) {
+        self.update_deadline(id);
         if self.open_requests.get(&id).is_some_and(|open| open.deadline <= now + RESPONSE_MARGIN) {
             self.respond_at_deadline(id);
         }
--- a/crates/proxy/src/frontend/body.rs
+++ b/crates/proxy/src/frontend/body.rs
@@ -15,6 +15,7 @@
 use crate::body_stream::BodyStream;
 use crate::body_upload::{BodyError, BodyReceiver, PartialBody, forward_body};
 use crate::inbox::Input;
+use crate::upload_clock::UploadClock;
 use crate::upstream::{RequestBody, Upload};
 
 /// Bytes of a body that are received before the request is submitted, if the memory budget allows it. A slow client
@@ -37,14 +38,21 @@
 }
 
 impl Frontend {
-    /// Receives a request's body, or its first part if the body is to be streamed. A small body has to be complete by
-    /// the request's deadline; a body that is sent fast enough may take longer. For a streamed body, the client waits
-    /// `response_timeout` after the body's last byte for the response, less the time for which the request waited for
-    /// its attempt to start.
+    /// Receives the body of a request whose head arrived at `head_arrived_at`, or its first part if the body is to be
+    /// streamed. A small body has to be complete by the request's deadline; a body that is sent fast enough may take
+    /// longer. For a streamed body, the client waits `client_timeout` after the body's last byte for the response.
     pub(super) async fn receive_body(
-        &self, body: Incoming, client: &Client, id: RequestId, response_timeout: Duration,
+        &self, body: Incoming, client: &Client, id: RequestId, head_arrived_at: Instant,
+        client_timeout: Duration,
     ) -> Result<ReceivedBody<impl Future<Output = Result<(), BodyError>>>, BodyError> {
-        let receiver = BodyReceiver::new(body, client.request_deadline.get(), client.body_ended.clone());
+        let clock = client.start_upload_clock(head_arrived_at);
+        let receiver = BodyReceiver::new(
+            body,
+            client.request_deadline.get(),
+            client.body_ended.clone(),
+            clock.clone(),
+            client.stream.clone(),
+        );
         let partial = match self.read_ahead(receiver).await? {
             ReadAhead::Complete { bytes, memory } => {
                 let body = RequestBody::Buffered { bytes, _memory: memory };
@@ -54,20 +62,21 @@
         };
         let (sender, stream) = BodyStream::new(partial.length());
         let upload = forward_body(partial, sender, self.upstreams.memory.streamed.clone());
-        let body = RequestBody::Streamed(self.upload(stream, id, response_timeout));
+        let body = RequestBody::Streamed(self.upload(stream, id, clock, client_timeout));
         Ok(ReceivedBody { body, upload: Some(upload) })
     }
 
     /// Wraps a streamed body so that the driver is notified when an attempt starts to read it and when it is complete.
-    fn upload(&self, stream: BodyStream, id: RequestId, response_timeout: Duration) -> Upload {
+    fn upload(
+        &self, stream: BodyStream, id: RequestId, clock: Rc<UploadClock>, client_timeout: Duration,
+    ) -> Upload {
         let on_start_inbox = self.inbox.clone();
         let on_complete_inbox = self.inbox.clone();
         Upload {
             stream: RefCell::new(Some(stream)),
-            response_deadline: Instant::now() + response_timeout,
-            on_start: Box::new(move |client_timeout| {
-                on_start_inbox.put(Input::UploadStarted { request: id, client_timeout });
-            }),
+            clock,
+            client_timeout,
+            on_start: Box::new(move || on_start_inbox.put(Input::UploadStarted(id))),
             on_complete: Rc::new(move || on_complete_inbox.put(Input::UploadComplete(id))),
         }
     }
--- a/crates/proxy/src/frontend/client.rs
+++ b/crates/proxy/src/frontend/client.rs
@@ -16,6 +16,7 @@
 use super::write_watchdog::WriteWatchdog;
 use crate::close_reason::ClientCloseReason;
 use crate::socket::has_ended;
+use crate::upload_clock::UploadClock;
 
 /// The stage of a connection. The variants are in the order in which connections are evicted.
 #[derive(Clone, Copy, PartialEq)]
@@ -64,6 +65,10 @@
     pub(super) raw_head: RefCell<Vec<u8>>,
     /// Whether the body of the latest request has been received to its end; true if that request has no body.
     pub(super) body_ended: Rc<Cell<bool>>,
+    /// The clock of the latest request with a body.
+    pub(super) upload_clock: RefCell<Option<Rc<UploadClock>>>,
+    /// Whether the receive buffer was empty at the last read.
+    pub(super) receive_buffer_empty: Cell<bool>,
     /// Detects that the client reads nothing of a streamed response.
     pub(super) write_watchdog: WriteWatchdog,
     /// Signals the connection's task to close the connection.
@@ -99,6 +104,8 @@
             head_started_at: Cell::new(now),
             raw_head: RefCell::default(),
             body_ended: Rc::new(Cell::new(true)),
+            upload_clock: RefCell::default(),
+            receive_buffer_empty: Cell::new(false),
             write_watchdog: WriteWatchdog::new(now),
             close: Notify::new(),
             close_reason: Cell::new(None),
@@ -112,6 +119,20 @@
         self.stage_since.set(Instant::now());
     }
 
+    /// Starts the clock of a request with a body, whose head arrived at `head_arrived_at`.
+    pub(super) fn start_upload_clock(&self, head_arrived_at: Instant) -> Rc<UploadClock> {
+        let clock = Rc::new(UploadClock::new(head_arrived_at));
+        self.upload_clock.replace(Some(clock.clone()));
+        clock
+    }
+
+    /// Records that bytes have just arrived in a receive buffer that was empty, for the body that they may belong to.
+    pub(super) fn record_arrival(&self) {
+        if let Some(clock) = self.upload_clock.borrow().as_ref().filter(|_| !self.body_ended.get()) {
+            clock.record_arrival();
+        }
+    }
+
     /// Signals the connection's task to close the connection for this reason.
     pub(super) fn request_close(&self, reason: ClientCloseReason) {
         self.record_close_reason(reason);
--- a/crates/proxy/src/frontend/client_socket.rs
+++ b/crates/proxy/src/frontend/client_socket.rs
@@ -6,6 +6,7 @@
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::task::coop::has_budget_remaining;
 use tokio::time::Instant;
 
 use super::client::{Client, Stage};
@@ -59,7 +60,14 @@
 impl AsyncRead for ClientSocket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let filled_before = buf.filled().len();
-        ready!(poll_read(&self.client.stream, cx, buf))?;
+        let read = poll_read(&self.client.stream, cx, buf);
+        // A task that has used up its budget has to wait although there may be bytes to read.
+        let found_empty = read.is_pending() && has_budget_remaining();
+        let was_empty = self.client.receive_buffer_empty.replace(found_empty);
+        ready!(read)?;
+        if was_empty {
+            self.client.record_arrival();
+        }
         self.record_read(&buf.filled()[filled_before..]);
         Poll::Ready(Ok(()))
     }
--- a/crates/proxy/src/frontend/forward.rs
+++ b/crates/proxy/src/frontend/forward.rs
@@ -85,7 +85,7 @@
         };
         let id = RequestId(self.next_number());
         let receive_started_at = Instant::now();
-        let received = self.receive_body(body, client, id, meta.timeout).await;
+        let received = self.receive_body(body, client, id, head_arrived_at, meta.timeout).await;
         let ReceivedBody { body, upload } = match received {
             Ok(received) => received,
             Err(error) => return Ok(rejection_response(error.into())),
@@ -127,7 +127,7 @@
     /// Counts a request, and submits it to the driver unless the client has disconnected.
     fn submit(&self, ready: ReadyRequest, client: &Client) -> Result<SubmittedRequest, ClientDisconnected> {
         let announcement = ready.announcement();
-        let ReadyRequest { id, meta, reserved_id, message, arrived_at, streamed, .. } = ready;
+        let ReadyRequest { id, meta, reserved_id, message, arrived_at, .. } = ready;
         let mut ticket = self.count_request(&meta, arrived_at);
         let access_record = self.access_record(&meta, arrived_at);
         ticket.set_access_record(access_record.clone());
@@ -144,7 +144,6 @@
             expected_cost: meta.expected_cost,
             deadline: arrived_at + meta.timeout,
             announcement,
-            timeout_after_upload: streamed.then_some(meta.timeout),
             message,
             response_sender: answer_sender,
             access_record,
--- a/crates/proxy/src/inbox.rs
+++ b/crates/proxy/src/inbox.rs
@@ -1,7 +1,6 @@
 //! The inputs that other parts of the proxy send to the driver, and the channel that carries them.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use leadrelay_core::settings::json::ConnectionTimeouts;
 use leadrelay_core::{
@@ -30,11 +29,7 @@
     /// The configuration has been reloaded.
     Reconfigure(Box<ReloadedSettings>),
     /// An attempt has started to read a request body that is forwarded while it is received.
-    UploadStarted {
-        request: RequestId,
-        /// How long the client waits after the last byte of the body.
-        client_timeout: Duration,
-    },
+    UploadStarted(RequestId),
     /// The last byte has been read of a request body that is forwarded while it is received.
     UploadComplete(RequestId),
     /// An attempt has ended.
@@ -77,8 +72,6 @@
     pub deadline: Instant,
     /// The timeout that the client announced, and whether it is typical of other clients of the same class and tenant.
     pub announcement: TimeoutAnnouncement,
-    /// How long the client waits after the last byte of the request's body; `None` if the body has been received.
-    pub timeout_after_upload: Option<Duration>,
     pub message: UpstreamRequest,
     /// Sends the final response.
     pub response_sender: oneshot::Sender<FinalResponse>,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -29,6 +29,7 @@
 mod rejection;
 mod server;
 mod socket;
+mod upload_clock;
 mod upstream;
 
 pub use cause::Cause;
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -47,6 +47,11 @@
     }
 }
 
+/// The size in bytes of a socket's receive buffer, which bounds the bytes that have arrived and are unread.
+pub fn receive_buffer_size(stream: &TcpStream) -> u64 {
+    socket2::SockRef::from(stream).recv_buffer_size().map_or(0, |size| size as u64)
+}
+
 /// Whether the other side has closed the connection or it has failed. Returns false while there are unread bytes before
 /// the end of the stream.
 pub fn has_ended(stream: &TcpStream) -> bool {
--- a/crates/proxy/src/upstream/attempt_request.rs
+++ b/crates/proxy/src/upstream/attempt_request.rs
@@ -64,8 +64,8 @@
                 body: Either::Left(Full::new(bytes.clone())),
             }),
             RequestBody::Streamed(upload) => {
-                let response_timeout = upload.response_deadline.saturating_duration_since(Instant::now());
-                let stream = take_stream(upload, progress, response_timeout)?;
+                let response_timeout = upload.response_deadline().saturating_duration_since(Instant::now());
+                let stream = take_stream(upload, progress)?;
                 let length = stream.size_hint().exact().map_or(UNKNOWN_LENGTH, |length| length as usize);
                 Some(AttemptBody { body: Either::Right(stream), length, response_timeout })
             }
@@ -74,16 +74,16 @@
 }
 
 /// Takes the stream of a body for an attempt, and records in `progress` whether the stream ends complete.
-fn take_stream(
-    upload: &Upload, progress: &Rc<RequestProgress>, response_timeout: Duration,
-) -> Option<BodyStream> {
+fn take_stream(upload: &Upload, progress: &Rc<RequestProgress>) -> Option<BodyStream> {
     let mut stream = upload.stream.borrow_mut().take()?;
     let progress = progress.clone();
     let on_complete = upload.on_complete.clone();
-    (upload.on_start)(response_timeout);
+    let clock = upload.clock.clone();
+    let client_timeout = upload.client_timeout;
+    (upload.on_start)();
     stream.on_end(Box::new(move |complete| {
         if complete {
-            progress.record_body_read(Instant::now() + response_timeout);
+            progress.record_body_read(clock.client_waits_since() + client_timeout);
             on_complete();
         } else {
             progress.record_body_incomplete();
--- a/crates/proxy/src/upstream/request.rs
+++ b/crates/proxy/src/upstream/request.rs
@@ -12,6 +12,7 @@
 
 use crate::body_memory::MemoryReservation;
 use crate::body_stream::BodyStream;
+use crate::upload_clock::UploadClock;
 
 /// A body as it is written to a socket: buffered or streamed.
 pub type MessageBody = Either<Full<Bytes>, BodyStream>;
@@ -47,26 +48,40 @@
 pub struct Upload {
     /// The stream of the body; `None` once an attempt has taken it.
     pub stream: RefCell<Option<BodyStream>>,
-    /// When the client stops waiting for a response, as long as no attempt has started to read the body.
-    pub response_deadline: Instant,
-    /// Called when an attempt starts to read the body, with the time that the client waits for the response, counted
-    /// from the body's last byte.
-    pub on_start: Box<dyn Fn(Duration)>,
+    /// Determines since when the client may be waiting for the response.
+    pub clock: Rc<UploadClock>,
+    /// How long the client waits for the response after the body's last byte.
+    pub client_timeout: Duration,
+    /// Called when an attempt starts to read the body.
+    pub on_start: Box<dyn Fn()>,
     /// Called when an attempt has read the body's last byte.
     pub on_complete: Rc<dyn Fn()>,
 }
 
+impl Upload {
+    /// The earliest time at which the client may stop waiting for the response, as far as is known now. While the
+    /// client still writes the body, this time moves on.
+    pub fn response_deadline(&self) -> Instant {
+        self.clock.client_waits_since() + self.client_timeout
+    }
+}
+
 impl UpstreamRequest {
     /// The request's id; empty if the header is missing or not printable ASCII.
     pub fn request_id(&self) -> &str {
         self.headers.get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or_default()
     }
 
-    /// Whether another attempt can send this request. Only one attempt can send a streamed body.
-    pub fn is_replayable(&self) -> bool {
+    /// The upload of a streamed body; `None` for a buffered one.
+    pub fn upload(&self) -> Option<&Upload> {
         match &self.body {
-            RequestBody::Buffered { .. } => true,
-            RequestBody::Streamed(upload) => upload.stream.borrow().is_some(),
+            RequestBody::Buffered { .. } => None,
+            RequestBody::Streamed(upload) => Some(upload),
         }
     }
+
+    /// Whether another attempt can send this request. Only one attempt can send a streamed body.
+    pub fn is_replayable(&self) -> bool {
+        self.upload().is_none_or(|upload| upload.stream.borrow().is_some())
+    }
 }
