A backend that takes nothing of an upload counts as unanswered and is ejected

The proxy went on to send long bodies to a hanging backend and lost a request each time; in a test with 40 long bodies, one hanging backend and one that serves, 37 requests went to the hanging one.

Cause: the core skips requests that upload when it looks for unanswered attempts (balancer/attempts.rs, check_running), as a slow client is no fault of the backend. An attempt that uploads takes no slot either, so a backend that hangs during uploads looks idle. Nothing told the core whether the client or the backend is slow.

While an upload is stalled, the core treats its attempt like one that waits for a response: after the same time it counts as unanswered, with the same rules for an ejection. Its slot is not freed, as it has none. The stall is logged.

--- a/crates/cli/tests/stalled_uploads.rs
+++ b/crates/cli/tests/stalled_uploads.rs
@@ -13,6 +13,8 @@
 const BUFFERED_BODY_BYTES: usize = 6_000_000;
 /// Length of a body in bytes that all socket buffers together do not hold.
 const LONG_BODY_BYTES: usize = 32_000_000;
+/// Number of requests with long bodies that a test sends to a hanging backend and to another one.
+const LONG_BODIES: usize = 40;
 /// Receive buffer of a backend in bytes.
 const SMALL_RECEIVE_BUFFER: usize = 64 << 10;
 const ANSWERED_IN_TIME: &str =
@@ -104,6 +106,30 @@
     assert_eq!(response.expect("a response").text(), "done", "the backend reads for 4 s");
 }
 
+/// Guards against sending ever more long bodies to a backend that hangs, as their attempts take no slot of it.
+#[test]
+fn long_bodies_go_to_other_backends_once_a_backend_does_not_read() {
+    let hanging = listener_with_small_receive_buffer();
+    let backend = Backend::new(Reply::Write(ok("done")));
+    let hosts = [host("s-0", hanging.local_addr().unwrap(), "up", 0), host("s-1", backend.address, "up", 0)];
+    let discovery = Discovery::new();
+    discovery.publish(&list(1, true, &hosts));
+    let proxy = Proxy::start_ready(&discovery, &setup_with_admin());
+    let clients: Vec<_> = (0..LONG_BODIES)
+        .map(|number| {
+            // The pause spreads the requests over time; it does not wait for an event.
+            thread::sleep(Duration::from_millis(100));
+            let mut client = proxy.client();
+            let request = long_submit(&format!("r-{number}"), "3", BUFFERED_BODY_BYTES);
+            thread::spawn(move || status(client.request(&request)))
+        })
+        .collect();
+    let statuses: Vec<u16> = clients.into_iter().map(|client| client.join().expect("a status")).collect();
+    let (first, last) = statuses.split_at(LONG_BODIES / 2);
+    assert!(first.contains(&502), "the hanging backend got a request: {statuses:?}");
+    assert!(last.iter().all(|status| *status == 200), "{statuses:?}");
+}
+
 /// Guards against giving up a request whose client writes slowly.
 #[test]
 fn timeout_does_not_run_while_client_writes_slowly() {
--- a/crates/core/src/balancer/attempts.rs
+++ b/crates/core/src/balancer/attempts.rs
@@ -205,10 +205,10 @@
         }
     }
 
-    /// Checks whether a running request is unanswered for too long, and sets its timer if a response will soon stop
-    /// being useful.
+    /// Checks whether a running request has been unanswered, or its upload stalled, for too long, and sets its timer if a
+    /// response will soon stop being useful.
     pub(super) fn check_running(&mut self, now: Millis, id: RequestId, out: &mut Vec<Action>) {
-        if self.requests.get(id).is_none_or(|request| request.uploading) {
+        if !self.requests.get(id).is_some_and(Request::awaits_endpoint) {
             return;
         }
         self.detect_unanswered(now, id);
@@ -230,8 +230,8 @@
         if hangs {
             entry.outlier.eject_hanging(now, HANG_FACTOR * expected);
         }
-        entry.load.this_proxy -= 1; // frees the slot for requests of other classes
         let request = self.requests.get_mut(id).expect("the request is open");
+        entry.load.this_proxy -= u32::from(!request.uploading); // frees the slot for requests of other classes
         request.attempts[position].unanswered = true;
         self.update_eligibility(endpoint, now);
     }
@@ -257,8 +257,12 @@
         match stage {
             UploadStage::NotReplayable => request.not_replayable = true,
             UploadStage::Started if !request.uploading => request.start_upload(now),
+            UploadStage::Stalled if request.uploading => request.upload_stalled = true,
+            UploadStage::Resumed if request.uploading => request.upload_stalled = false,
             UploadStage::Complete if request.uploading => request.complete_upload(now),
-            UploadStage::Started | UploadStage::Complete => return,
+            UploadStage::Started | UploadStage::Stalled | UploadStage::Resumed | UploadStage::Complete => {
+                return;
+            }
         }
         let mut in_flight = Vec::new();
         for attempt in request.attempts.iter_mut().filter(|attempt| attempt.is_in_flight()) {
@@ -270,7 +274,7 @@
             match stage {
                 UploadStage::Started => *own -= 1,
                 UploadStage::Complete => *own += 1,
-                UploadStage::NotReplayable => {}
+                UploadStage::NotReplayable | UploadStage::Stalled | UploadStage::Resumed => {}
             }
             self.update_eligibility(endpoint, now);
         }
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -63,6 +63,10 @@
 pub enum UploadStage {
     /// Forwarding of the body has started. The request's deadline does not run yet.
     Started,
+    /// The endpoint has taken no bytes of the body for a while although there are some.
+    Stalled,
+    /// The endpoint takes bytes of the body again.
+    Resumed,
     /// The last byte of the body has been received; the request's deadline runs from now on.
     Complete,
     /// The body can't be sent again, because it is streamed and an attempt has already taken the stream.
--- a/crates/core/src/requests/request.rs
+++ b/crates/core/src/requests/request.rs
@@ -69,6 +69,8 @@
     pub response_started: bool,
     /// Whether the body is still being received while it is forwarded.
     pub uploading: bool,
+    /// Whether the endpoint takes no bytes of the body that is being forwarded.
+    pub upload_stalled: bool,
     /// The time at which forwarding of the body started.
     pub upload_started_at: Millis,
     /// Whether the body can't be sent again.
@@ -84,6 +86,7 @@
             done: false,
             response_started: false,
             uploading: false,
+            upload_stalled: false,
             upload_started_at: 0.0,
             not_replayable: false,
         }
@@ -94,6 +97,11 @@
         self.attempts.iter().any(|attempt| !attempt.ended)
     }
 
+    /// Whether the request waits for its endpoint, which has either the complete request or does not take the rest of it.
+    pub fn awaits_endpoint(&self) -> bool {
+        !self.uploading || self.upload_stalled
+    }
+
     /// Whether an attempt is running or may have run.
     pub fn may_have_run(&self) -> bool {
         self.attempts.iter().any(|attempt| attempt.may_have_run)
@@ -145,5 +153,6 @@
         self.spec.objective_at += upload_time;
         self.spec.deadline += upload_time;
         self.uploading = false;
+        self.upload_stalled = false;
     }
 }
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -30,7 +30,7 @@
 use std::sync::Arc;
 
 use leadrelay_core::names::Names;
-use leadrelay_core::{Action, Balancer, Event, RequestId};
+use leadrelay_core::{Action, Balancer, Event, RequestId, UploadStage};
 use rustc_hash::FxHashMap;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
@@ -153,6 +153,10 @@
             }
             Input::ShutdownWithoutSuccessor => self.handle(Event::Draining(true)),
             Input::UploadStarted(id) => self.upload_started(id),
+            Input::UploadStalled { request, stalled } => {
+                let stage = if stalled { UploadStage::Stalled } else { UploadStage::Resumed };
+                self.handle(Event::Upload { request, stage });
+            }
             Input::UploadComplete(id) => self.upload_complete(id),
             Input::AttemptEnded(end) => self.attempt_ended(end),
             Input::EndpointList { scope, endpoints } => self.apply_list(scope, endpoints),
--- a/crates/proxy/src/frontend/body.rs
+++ b/crates/proxy/src/frontend/body.rs
@@ -71,12 +71,16 @@
         &self, stream: BodyStream, id: RequestId, clock: Rc<UploadClock>, client_timeout: Duration,
     ) -> Upload {
         let on_start_inbox = self.inbox.clone();
+        let on_stall_inbox = self.inbox.clone();
         let on_complete_inbox = self.inbox.clone();
         Upload {
             stream: RefCell::new(Some(stream)),
             clock,
             client_timeout,
             on_start: Box::new(move || on_start_inbox.put(Input::UploadStarted(id))),
+            on_stall: Box::new(move |stalled| {
+                on_stall_inbox.put(Input::UploadStalled { request: id, stalled })
+            }),
             on_complete: Rc::new(move || on_complete_inbox.put(Input::UploadComplete(id))),
         }
     }
--- a/crates/proxy/src/inbox.rs
+++ b/crates/proxy/src/inbox.rs
@@ -30,6 +30,8 @@
     Reconfigure(Box<ReloadedSettings>),
     /// An attempt has started to read a request body that is forwarded while it is received.
     UploadStarted(RequestId),
+    /// A backend takes no bytes of a request body that is forwarded while it is received, or goes on after that.
+    UploadStalled { request: RequestId, stalled: bool },
     /// The last byte has been read of a request body that is forwarded while it is received.
     UploadComplete(RequestId),
     /// An attempt has ended.
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -1,5 +1,6 @@
 //! Runs one attempt: gets a connection, sends one request on it, and returns the connection to the pool.
 
+use std::convert::Infallible;
 use std::rc::Rc;
 
 use http_body_util::{Either, Full};
@@ -181,6 +182,22 @@
             exchange = exchange => Ok(exchange?),
             () = self.response_timed_out(&progress) => Err(SendError::TimedOut),
             () = self.abandoned_while_writing(&progress) => Err(SendError::Abandoned),
+            never = self.report_stalls(&progress) => match never {},
+        }
+    }
+
+    /// Reports each time that the backend takes no bytes of a streamed body, and when it goes on. A buffered body needs
+    /// no report: its timeout runs from the start.
+    async fn report_stalls(&self, progress: &RequestProgress) -> Infallible {
+        let Some(upload) = self.request.upload() else { return std::future::pending().await };
+        loop {
+            progress.write.stalled().await;
+            let request = self.request.request_id();
+            let backend = self.endpoint.address;
+            info!(request, %backend, "backend does not read the request body");
+            (upload.on_stall)(true);
+            progress.write.resumed().await;
+            (upload.on_stall)(false);
         }
     }
 
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -79,7 +79,11 @@
         if !self.progress.has_started() && peek(&self.stream) != PeekResult::Nothing {
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
-        let written = ready!(poll_write(&self.stream, cx, bytes))?;
+        let written = poll_write(&self.stream, cx, bytes);
+        if written.is_pending() {
+            self.progress.write.record_blocked();
+        }
+        let written = ready!(written)?;
         self.progress.record_written(&bytes[..written]);
         Poll::Ready(Ok(written))
     }
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -11,7 +11,7 @@
 //!    which the connection checks just before it writes the first byte.
 //! 3. `exchange` sends the request and reads as much of the response as is buffered. `request_progress` and
 //!    `request_framing` track the bytes written, because a request can't have run before its last byte is written.
-//!    `response_progress` detects a response that stalls.
+//!    `write_progress` detects a backend that takes no bytes, and `response_progress` a response that stalls.
 //! 4. `attempt` reports the outcome, with the `response` for the client if there is one. `relay` streams the rest of a
 //!    response that is too long to buffer.
 //! 5. The `pool` takes the connection back, or closes it.
@@ -38,6 +38,7 @@
 mod response;
 mod response_progress;
 mod socket_budget;
+mod write_progress;
 
 pub use attempt::AttemptLimits;
 pub use endpoint::UpstreamEndpoint;
--- a/crates/proxy/src/upstream/request.rs
+++ b/crates/proxy/src/upstream/request.rs
@@ -54,6 +54,8 @@
     pub client_timeout: Duration,
     /// Called when an attempt starts to read the body.
     pub on_start: Box<dyn Fn()>,
+    /// Called with `true` when the backend has taken no bytes of the body for a while, and with `false` when it goes on.
+    pub on_stall: Box<dyn Fn(bool)>,
     /// Called when an attempt has read the body's last byte.
     pub on_complete: Rc<dyn Fn()>,
 }
--- a/crates/proxy/src/upstream/request_progress.rs
+++ b/crates/proxy/src/upstream/request_progress.rs
@@ -11,6 +11,7 @@
 use super::request_framing::RequestFraming;
 use super::request_state::RequestState;
 use super::response_progress::ResponseProgress;
+use super::write_progress::WriteProgress;
 use crate::close_reason::BackendCloseReason;
 use crate::metrics::Metrics;
 
@@ -30,6 +31,8 @@
     response_deadline_set: Notify,
     /// Whether the stream of the body ended before the body was complete.
     is_body_incomplete: Cell<bool>,
+    /// Whether the backend takes the bytes of the request.
+    pub(super) write: WriteProgress,
     /// Progress of the response.
     pub(super) response: ResponseProgress,
     /// The metrics; `None` in tests without sockets.
@@ -47,6 +50,7 @@
         self.has_started.set(false);
         self.was_denied.set(false);
         self.framing.start(body_length);
+        self.write.start();
         self.response.start();
         self.response_deadline.set(None);
         self.is_body_incomplete.set(false);
@@ -137,6 +141,7 @@
             self.count_violations();
         }
         let was_complete = self.is_complete();
+        self.write.record_written();
         self.framing.advance(bytes);
         if let Some(metrics) = self.metrics.as_ref().filter(|_| !was_complete && self.is_complete()) {
             metrics.attempt_written();
