A process that is told to end passes on streamed responses to their end

At a planned restart a client whose long response was being passed on lost its connection 3.65 to 3.82 s after SIGTERM, with the backend still giving the response and SIGKILL yet to come.

All connections ended in one moment, with the end of the process; a limit of the response itself would have ended one connection and been logged.

Cause: finish_requests (frontend/shutdown.rs) returns at the shutdown deadline plus 0.1 s whatever is in flight, and the process ends. That is right for a request without a response, which the driver answers at the deadline. A response that is being passed on can't be replaced.

Fix: after the deadline the process waits for the streamed responses in progress, and for nothing else. Each of them is bounded by the timeouts of its backend and its client, and SIGKILL may come first. Requests that arrive meanwhile on open connections are answered at once.

--- a/crates/cli/tests/shutdown.rs
+++ b/crates/cli/tests/shutdown.rs
@@ -54,6 +54,70 @@
     terminate_with_hanging_backend(1000, Duration::from_millis(1700));
 }
 
+/// Length in bytes of a response body that the proxy streams.
+const STREAMED_BODY_BYTES: usize = 200_000;
+
+/// A proxy that has received SIGTERM and passed its shutdown deadline, while it streams a response whose second half
+/// the backend writes once the latch opens. The client has read the first half.
+struct LateStream {
+    proxy: Proxy,
+    client: Client,
+    latch: Latch,
+    _backend: Backend,
+    _discovery: Discovery,
+}
+
+impl LateStream {
+    fn start() -> Self {
+        let latch = Latch::default();
+        let response = ok(&"x".repeat(STREAMED_BODY_BYTES));
+        let (first, rest) = response.split_at(response.len() - STREAMED_BODY_BYTES / 2);
+        let backend = Backend::new(Reply::InParts(first.into(), latch.clone(), rest.into()));
+        let discovery = Discovery::new();
+        discovery.publish(&all_up(&[&backend]));
+        let proxy = Proxy::start_ready(&discovery, &Setup { deadline_ms: 300, ..setup_with_admin() });
+        let mut client = proxy.client();
+        client.send(&page("r-1"));
+        assert_eq!(client.read_head().status(), 200);
+        client.read(STREAMED_BODY_BYTES / 2);
+        proxy.terminate();
+        wait_for("the shutdown deadline", || proxy.log_contains("shutdown deadline passed"));
+        LateStream { proxy, client, latch, _backend: backend, _discovery: discovery }
+    }
+}
+
+/// Guards against a streamed response that is cut off because the process ends before the response does.
+#[test]
+fn streamed_response_outlasts_the_shutdown_deadline() {
+    let mut late = LateStream::start();
+    late.latch.open();
+    assert!(late.client.read(STREAMED_BODY_BYTES / 2).iter().all(|byte| *byte == b'x'));
+    assert!(late.client.is_closed());
+    assert!(late.proxy.wait().success());
+}
+
+/// Guards against a process that never ends because the client of a streamed response has left.
+#[test]
+fn process_ends_once_client_of_streamed_response_disconnects_after_the_shutdown_deadline() {
+    let mut late = LateStream::start();
+    drop(late.client);
+    late.latch.open();
+    assert!(late.proxy.wait().success());
+}
+
+/// Guards against a request without a response at the end of the process, if it is sent behind a streamed response that
+/// ends after the shutdown deadline.
+#[test]
+fn request_behind_streamed_response_is_answered_after_the_shutdown_deadline() {
+    let mut late = LateStream::start();
+    late.client.send(&page("r-2"));
+    late.latch.open();
+    late.client.read(STREAMED_BODY_BYTES / 2);
+    let (status, closed) = late.client.last_response().expect("a response");
+    assert!(matches!(status, 502 | 503) && closed, "{status} {closed}");
+    assert!(late.proxy.wait().success());
+}
+
 #[test]
 fn half_read_head_at_sigterm_is_answered_once_complete() {
     let backend = Backend::new(Reply::Write(ok("whole")));
--- a/crates/proxy/src/frontend/listener.rs
+++ b/crates/proxy/src/frontend/listener.rs
@@ -107,6 +107,7 @@
         self.set_stage(&client, Stage::New);
         tokio::task::spawn_local(async move {
             self.serve_connection(&client).await;
+            client.write_watchdog.stop();
             self.record_closed(&client);
             self.set_stage(&client, Stage::InFlight);
             self.connections.remove();
--- a/crates/proxy/src/frontend/mod.rs
+++ b/crates/proxy/src/frontend/mod.rs
@@ -15,7 +15,7 @@
 //!    response while the rest of a streamed body is received. `cancellation` notifies the driver if the client
 //!    disconnects first.
 //! 6. `response` converts the final response to the HTTP response to the client. The request ends at that point, or
-//!    with the last byte of a streamed response.
+//!    with the last byte of a streamed response. `streamed_responses` counts those that are being passed on.
 //!
 //! `linger` closes a connection whose client may still be sending. `shutdown` finishes the accepted requests before the
 //! process ends.
@@ -37,6 +37,7 @@
 mod service;
 mod shutdown;
 mod socket_limits;
+mod streamed_responses;
 mod write_watchdog;
 
 use std::cell::{Cell, RefCell};
@@ -60,6 +61,7 @@
 use crate::upstream::UpstreamPool;
 use client::{Client, Stage};
 use connection_table::{ConnectionTable, MIN_IDLE_TIME};
+use streamed_responses::StreamedResponses;
 
 /// Maximum length of a request head, in bytes. It is large enough for any client of the protocol, and small enough that
 /// all connections can buffer a head at the same time.
@@ -105,6 +107,7 @@
     /// Whether the process is shutting down.
     is_shutting_down: Cell<bool>,
     connections: ConnectionTable,
+    streamed_responses: StreamedResponses,
     /// When the accept queue was last seen empty.
     accept_queue_empty_at: Cell<Instant>,
     open_ids: OpenRequestIds,
@@ -126,6 +129,7 @@
             drained: parts.drained,
             is_shutting_down: Cell::new(false),
             connections: ConnectionTable::default(),
+            streamed_responses: StreamedResponses::default(),
             accept_queue_empty_at: Cell::new(Instant::now()),
             open_ids: OpenRequestIds::default(),
             connections_changed: Notify::new(),
--- a/crates/proxy/src/frontend/response.rs
+++ b/crates/proxy/src/frontend/response.rs
@@ -63,7 +63,7 @@
     fn watch_stream(
         self: Rc<Self>, mut stream: BodyStream, ticket: RequestTicket, client: &Rc<Client>,
     ) -> BodyStream {
-        client.write_watchdog.start();
+        client.write_watchdog.start(self.streamed_responses.start());
         let client = client.clone();
         stream.on_end(Box::new(move |complete| {
             ticket.end(if complete { Cause::Served } else { Cause::ResponseBroken });
--- a/crates/proxy/src/frontend/shutdown.rs
+++ b/crates/proxy/src/frontend/shutdown.rs
@@ -5,7 +5,7 @@
 
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
-use tracing::warn;
+use tracing::{info, warn};
 
 use super::Frontend;
 use super::client::Stage;
@@ -93,8 +93,25 @@
         }
     }
 
-    /// Waits until no request is in flight and no part of a request head has arrived, or until the deadline.
+    /// Waits until all requests are finished: until `deadline` for those without a response, and without a limit for
+    /// responses that are being streamed. A streamed response can't be replaced by another one. It is bounded by the
+    /// timeouts of its backend and its client, and by SIGKILL.
     async fn finish_requests(&self, deadline: Instant) {
+        self.finish_requests_until(deadline).await;
+        if !self.streamed_responses.any() {
+            return;
+        }
+        info!("waiting for streamed responses");
+        while self.streamed_responses.any() {
+            self.connections_changed.notified().await;
+            self.connections.close_all(Stage::Idle, ClientCloseReason::Shutdown);
+        }
+        // Requests that arrived meanwhile have been answered at once.
+        self.finish_requests_until(Instant::now() + WRITE_TIME).await;
+    }
+
+    /// Waits until no request is in flight and no part of a request head has arrived, or until the deadline.
+    async fn finish_requests_until(&self, deadline: Instant) {
         while self.connections.has_requests() {
             if timeout_at(deadline, self.connections_changed.notified()).await.is_err() {
                 warn!(open = self.connections.in_flight(), "shutdown deadline passed with requests open");
--- a/crates/proxy/src/frontend/write_watchdog.rs
+++ b/crates/proxy/src/frontend/write_watchdog.rs
@@ -1,47 +1,49 @@
 //! Detects a client that reads nothing of a streamed response.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use super::streamed_responses::StreamedResponse;
+
 /// Time after which a client is disconnected if it reads nothing of a streamed response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Tracks the writes of a streamed response to a client's socket.
 pub(super) struct WriteWatchdog {
-    /// Whether a response is being streamed.
-    streaming: Cell<bool>,
+    /// The response that is being streamed, if there is one.
+    response: RefCell<Option<StreamedResponse>>,
     /// When bytes were last written to the socket, or when streaming started.
     last_write: Cell<Instant>,
 }
 
 impl WriteWatchdog {
     pub(super) fn new(now: Instant) -> Self {
-        WriteWatchdog { streaming: Cell::new(false), last_write: Cell::new(now) }
+        WriteWatchdog { response: RefCell::default(), last_write: Cell::new(now) }
     }
 
     /// Starts to watch a streamed response.
-    pub(super) fn start(&self) {
-        self.streaming.set(true);
+    pub(super) fn start(&self, response: StreamedResponse) {
+        self.response.replace(Some(response));
         self.last_write.set(Instant::now());
     }
 
-    /// Stops watching, because the streamed response has ended.
+    /// Stops watching, because the streamed response or its connection has ended.
     pub(super) fn stop(&self) {
-        self.streaming.set(false);
+        self.response.take();
     }
 
     /// Records that bytes have been written to the socket.
     pub(super) fn record_write(&self) {
-        if self.streaming.get() {
+        if self.is_streaming() {
             self.last_write.set(Instant::now());
         }
     }
 
     /// Whether a response is being streamed.
     pub(super) fn is_streaming(&self) -> bool {
-        self.streaming.get()
+        self.response.borrow().is_some()
     }
 
     /// The time by which more bytes of a streamed response have to be written.
@@ -51,6 +53,6 @@
 
     /// Whether a response is being streamed and nothing of it has been written for [`WRITE_TIMEOUT`].
     pub(super) fn has_expired(&self) -> bool {
-        self.streaming.get() && self.last_write.get().elapsed() >= WRITE_TIMEOUT
+        self.is_streaming() && self.last_write.get().elapsed() >= WRITE_TIMEOUT
     }
 }
