A streamed response counts until it is written to the socket

A client that reads nothing of a long response for a while loses its last kilobytes when the proxy is told to end (or drains, or evicts the connection).

Cause: the connection became idle and the write watchdog stopped as soon as hyper had taken the last byte of the stream (frontend/response.rs, watch_stream). Hyper may hold it for long, as the socket is full. An idle connection is closed, and a process without requests ends.

Fix: the connection becomes idle when hyper flushes the socket, which it does only once its buffer is empty. Until then the response counts as being passed on. A pipelined request that hyper reads before that is recognized.

--- a/crates/proxy/src/frontend/client_socket.rs
+++ b/crates/proxy/src/frontend/client_socket.rs
@@ -80,7 +80,11 @@
         Poll::Ready(Ok(written))
     }
 
+    /// Hyper flushes the socket once it has written all bytes of its buffer.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        if self.client.write_watchdog.record_flush() {
+            self.frontend.set_stage(&self.client, Stage::Idle);
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/crates/proxy/src/frontend/received.rs
+++ b/crates/proxy/src/frontend/received.rs
@@ -26,7 +26,8 @@
     /// connection's stage changes.
     pub(super) fn new(request: Request<Incoming>, client: &Client) -> Self {
         // A pipelined head arrived together with the previous request, so its raw bytes were not recorded separately.
-        let pipelined = client.stage.get() == Stage::Idle;
+        // Hyper reads it before the end of a streamed response has been written if the client reads slowly.
+        let pipelined = client.stage.get() == Stage::Idle || client.write_watchdog.is_streaming();
         if pipelined {
             client.request_deadline.set(Instant::now() + REQUEST_TIMEOUT);
         }
--- a/crates/proxy/src/frontend/response.rs
+++ b/crates/proxy/src/frontend/response.rs
@@ -9,7 +9,7 @@
 use leadrelay_core::Millis;
 
 use super::Frontend;
-use super::client::{Client, Stage};
+use super::client::Client;
 use crate::body_stream::BodyStream;
 use crate::cause::Cause;
 use crate::config::ClientProtocol;
@@ -54,22 +54,24 @@
                 ticket.end(Cause::Served);
                 Either::Left(body)
             }
-            Either::Right(stream) => Either::Right(self.clone().watch_stream(stream, ticket, client)),
+            Either::Right(stream) => Either::Right(self.watch_stream(stream, ticket, client)),
         };
         client_response(response)
     }
 
-    /// Starts the write watchdog for a streamed response, and ends the request with the end of the stream.
-    fn watch_stream(
-        self: Rc<Self>, mut stream: BodyStream, ticket: RequestTicket, client: &Rc<Client>,
-    ) -> BodyStream {
+    /// Starts the write watchdog for a streamed response, and ends the request with the end of the stream. The
+    /// connection becomes idle once the response has been written to the socket.
+    fn watch_stream(&self, mut stream: BodyStream, ticket: RequestTicket, client: &Rc<Client>) -> BodyStream {
         client.write_watchdog.start(self.streamed_responses.start());
         let client = client.clone();
-        stream.on_end(Box::new(move |complete| {
-            ticket.end(if complete { Cause::Served } else { Cause::ResponseBroken });
-            client.write_watchdog.stop();
-            if complete {
-                self.set_stage(&client, Stage::Idle);
+        stream.on_end(Box::new(move |complete| match complete {
+            true => {
+                ticket.end(Cause::Served);
+                client.write_watchdog.record_end();
+            }
+            false => {
+                ticket.end(Cause::ResponseBroken);
+                client.write_watchdog.stop();
             }
         }));
         stream
--- a/crates/proxy/src/frontend/service.rs
+++ b/crates/proxy/src/frontend/service.rs
@@ -24,6 +24,7 @@
         self: &Rc<Self>, request: Request<Incoming>, client: &Rc<Client>,
     ) -> Result<Response<MessageBody>, ClientDisconnected> {
         let received = ReceivedHead::new(request, client);
+        client.write_watchdog.stop();
         self.set_stage(client, Stage::InFlight);
         let overloaded = self.connections.in_flight() > self.limits.max_in_flight();
         let mut response = if overloaded {
