Soak: bodies of 6 MiB, which a hanging backend does not read

A quarter of the long bodies now have 6 MiB, and a backend that hangs leaves bodies over 1 MiB unread.

--- a/crates/soak/src/backend/connection.rs
+++ b/crates/soak/src/backend/connection.rs
@@ -17,6 +17,8 @@
 const LONG_BODY: usize = 200 << 10;
 /// Length in bytes of any other response body.
 const SHORT_BODY: usize = 20;
+/// Length in bytes of the longest request body that a backend reads while it hangs.
+const MAX_BODY_READ_WHILE_HANGING: usize = 1 << 20;
 const FAILURE: &[u8] = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n";
 const REJECTION: &[u8] = b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
 
@@ -51,6 +53,10 @@
             let started_at = Instant::now();
             let Some(head) = reader.read_head().await? else { return Ok(()) };
             let attempt = self.record_attempt(&head, started_at);
+            if self.backend.mode() == BackendMode::Hang && head.content_length() > MAX_BODY_READ_WHILE_HANGING
+            {
+                return std::future::pending().await;
+            }
             reader.skip_body(&head).await?;
             let mode = self.backend.mode();
             self.record_received(attempt, mode != BackendMode::Reject);
--- a/crates/soak/src/clients/request.rs
+++ b/crates/soak/src/clients/request.rs
@@ -5,8 +5,9 @@
 use super::behavior::{ClientBehavior, RequestBehavior};
 use crate::settings::RequestClass;
 
-/// Length in bytes of a long request body.
-const LONG_BODY: usize = 200 << 10;
+/// Lengths in bytes of long request bodies. The longest one exceeds what the socket buffers of a proxy and a backend hold,
+/// but fits into those of a client and a proxy with them.
+const LONG_BODIES: [usize; 4] = [200 << 10, 200 << 10, 200 << 10, 6 << 20];
 
 /// A request that is about to be sent.
 pub(super) struct PlannedRequest {
@@ -30,7 +31,7 @@
         };
         let body_length = match class {
             RequestClass::Read => 0,
-            _ if is_upload => LONG_BODY,
+            _ if is_upload => LONG_BODIES[fastrand::usize(0..LONG_BODIES.len())],
             _ => fastrand::usize(1..2000),
         };
         PlannedRequest {
--- a/crates/soak/src/http.rs
+++ b/crates/soak/src/http.rs
@@ -32,6 +32,11 @@
         self.headers.iter().find(|(header, _)| header == name).map(|(_, value)| value.as_str())
     }
 
+    /// Returns the announced length of the body in bytes; 0 if there is none or it can't be parsed.
+    pub fn content_length(&self) -> usize {
+        self.header("content-length").and_then(|length| length.parse().ok()).unwrap_or(0)
+    }
+
     /// Returns the status of a response; 0 if it can't be parsed.
     pub fn status(&self) -> u16 {
         self.first_line.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
@@ -96,7 +101,7 @@
         if head.header("transfer-encoding").is_some() {
             return self.skip_chunked_body().await;
         }
-        let length = head.header("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+        let length = head.content_length();
         self.skip(length).await?;
         Ok(length)
     }
