--- a/crates/core/src/balancer/attempts.rs
+++ b/crates/core/src/balancer/attempts.rs
@@ -205,8 +205,8 @@
         }
     }
 
-    /// Checks whether a running request has been unanswered, or its upload stalled, for too long, and sets its timer if a
-    /// response will soon stop being useful.
+    /// Checks whether a running request has been unanswered, or its upload stalled, for too long, and sets its timer if
+    /// a response will soon stop being useful.
     pub(super) fn check_running(&mut self, now: Millis, id: RequestId, out: &mut Vec<Action>) {
         if !self.requests.get(id).is_some_and(Request::awaits_endpoint) {
             return;
--- a/crates/core/src/requests/request.rs
+++ b/crates/core/src/requests/request.rs
@@ -97,7 +97,7 @@
         self.attempts.iter().any(|attempt| !attempt.ended)
     }
 
-    /// Whether the request waits for its endpoint, which has either the complete request or does not take the rest of it.
+    /// Whether the request waits for its endpoint, which has the complete request or does not take the rest of it.
     pub fn awaits_endpoint(&self) -> bool {
         !self.uploading || self.upload_stalled
     }
