--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -7,6 +7,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -16,8 +17,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64, unused: u64, unused_too: u64, unused_as_well: u64) -> i32;
 }
 
+/// The option of `prctl` by which a process is sent a signal when the thread that started it ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
@@ -534,6 +539,13 @@
             command.env("NODE_ADMIN_ADDR", admin.to_string());
         }
         command.stdout(log.try_clone().unwrap()).stderr(log);
+        // The proxy ends with this program also where this program is killed.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64, 0, 0, 0);
+                Ok(())
+            });
+        }
         let child = command.spawn().expect("the proxy starts");
         let pid = child.id();
         run.processes.lock().unwrap().push(pid);
