Log what a streamed response waited for: its backend, its client or memory

Change: Relay keeps its state and times; a debug event at its end has bytes, completeness and the three waits.

--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -8,7 +8,7 @@
 use hyper::body::Body as _;
 use leadrelay_core::Outcome;
 use tokio::time::{Instant, sleep_until, timeout_at};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use super::attempt_request::AttemptRequest;
 use super::connection::Connection;
@@ -17,7 +17,7 @@
 use super::exchange::{BackendResponse, Exchange, ExchangeError, ResponseBody, exchange};
 use super::guard::SendGuard;
 use super::pool::UpstreamPool;
-use super::relay::{RelayError, relay};
+use super::relay::{Relay, RelayError};
 use super::request::{MessageBody, RequestBody, UpstreamRequest};
 use super::request_progress::RequestProgress;
 use super::request_state::{RequestState, SharedRequestState};
@@ -248,7 +248,9 @@
                 if !reusable {
                     return false;
                 }
-                let relayed = relay(read, rest, sender, &self.pool.memory.streamed).await;
+                let mut relay = Relay::new(rest, sender, &self.pool.memory.streamed);
+                let relayed = relay.run(read).await;
+                self.log_streamed_response(&relay, relayed.is_ok());
                 self.relay_succeeded(relayed)
             }
         }
@@ -266,6 +268,20 @@
         }
     }
 
+    fn log_streamed_response(&self, relay: &Relay, complete: bool) {
+        let times = relay.times();
+        debug!(
+            request = self.request.request_id(),
+            backend = %self.endpoint.address,
+            complete,
+            bytes = relay.received(),
+            waited_for_backend_ms = times.backend.as_millis() as u64,
+            waited_for_client_ms = times.client.as_millis() as u64,
+            waited_for_memory_ms = times.memory.as_millis() as u64,
+            "streamed response ended"
+        );
+    }
+
     /// The outcome of an attempt without a response. A request can't have run if the attempt failed before the last
     /// byte of the request was written.
     fn failure_outcome(&self, error: SendError, progress: &RequestProgress) -> Outcome {
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -31,6 +31,7 @@
 mod keep_alive;
 mod pool;
 mod relay;
+mod relay_times;
 mod request;
 mod request_framing;
 mod request_progress;
--- a/crates/proxy/src/upstream/relay.rs
+++ b/crates/proxy/src/upstream/relay.rs
@@ -5,8 +5,9 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
+use super::relay_times::RelayTimes;
 use crate::body_memory::MemoryBudget;
 use crate::body_stream::{BodyChunk, BodySender, MAX_BODY_BYTES};
 
@@ -28,37 +29,76 @@
     ClientDisconnected,
 }
 
-/// Streams a response's body as fast as the client reads: first the bytes in `buffered`, then `rest`. Returns once the
-/// whole body has been received and passed on.
-pub(super) async fn relay(
-    buffered: Bytes, mut rest: Incoming, sender: BodySender, memory: &MemoryBudget,
-) -> Result<(), RelayError> {
-    let mut next = buffered;
-    let mut total = 0;
-    loop {
-        total += next.len() as u64;
-        if total > MAX_BODY_BYTES {
-            return Err(RelayError::TooLong);
-        }
-        let reservation = memory.reserve(next.len()).await;
-        if !next.is_empty() && sender.send(BodyChunk::Data(next, reservation)).await.is_err() {
-            return Err(RelayError::ClientDisconnected);
-        }
-        match next_chunk(&mut rest).await? {
-            Some(data) => next = data,
-            None => {
-                let _ = sender.send(BodyChunk::End).await; // fails if a reader that knows the length has stopped
-                return Ok(());
+/// Streams one response as fast as its client reads.
+pub(super) struct Relay<'a> {
+    rest: Incoming,
+    sender: BodySender,
+    memory: &'a MemoryBudget,
+    /// Bytes of the body received from the backend so far.
+    received: u64,
+    /// What the time was spent on.
+    times: RelayTimes,
+}
+
+impl<'a> Relay<'a> {
+    /// Prepares to stream a response whose body continues with `rest`.
+    pub(super) fn new(rest: Incoming, sender: BodySender, memory: &'a MemoryBudget) -> Self {
+        Relay { rest, sender, memory, received: 0, times: RelayTimes::default() }
+    }
+
+    /// Streams the body: first the bytes in `buffered`, then the rest. Returns once the whole body has been received and
+    /// passed on.
+    pub(super) async fn run(&mut self, buffered: Bytes) -> Result<(), RelayError> {
+        let mut next = buffered;
+        loop {
+            self.received += next.len() as u64;
+            if self.received > MAX_BODY_BYTES {
+                return Err(RelayError::TooLong);
+            }
+            self.pass_on(next).await?;
+            match self.next_chunk().await? {
+                Some(data) => next = data,
+                None => {
+                    let _ = self.sender.send(BodyChunk::End).await; // fails if a reader that knows the length has stopped
+                    return Ok(());
+                }
             }
         }
     }
-}
 
-/// Reads the next frame. Returns its data, which is empty for a frame of trailers, or `None` at the end of the body.
-async fn next_chunk(body: &mut Incoming) -> Result<Option<Bytes>, RelayError> {
-    match timeout(CHUNK_TIMEOUT, body.frame()).await {
-        Ok(None) => Ok(None),
-        Ok(Some(frame)) => Ok(Some(frame?.into_data().unwrap_or_default())),
-        Err(_) => Err(RelayError::ReadTimedOut),
+    /// The number of bytes received from the backend so far.
+    pub(super) fn received(&self) -> u64 {
+        self.received
+    }
+
+    /// What the time was spent on so far.
+    pub(super) fn times(&self) -> &RelayTimes {
+        &self.times
+    }
+
+    /// Passes a part of the body on to the client's connection.
+    async fn pass_on(&mut self, data: Bytes) -> Result<(), RelayError> {
+        let started_at = Instant::now();
+        let reservation = self.memory.reserve(data.len()).await;
+        self.times.memory += started_at.elapsed();
+        if data.is_empty() {
+            return Ok(());
+        }
+        let started_at = Instant::now();
+        let sent = self.sender.send(BodyChunk::Data(data, reservation)).await;
+        self.times.client += started_at.elapsed();
+        sent.map_err(|_| RelayError::ClientDisconnected)
+    }
+
+    /// Reads the next frame. Returns its data, which is empty for a frame of trailers, or `None` at the end of the body.
+    async fn next_chunk(&mut self) -> Result<Option<Bytes>, RelayError> {
+        let started_at = Instant::now();
+        let frame = timeout(CHUNK_TIMEOUT, self.rest.frame()).await;
+        self.times.backend += started_at.elapsed();
+        match frame {
+            Ok(None) => Ok(None),
+            Ok(Some(frame)) => Ok(Some(frame?.into_data().unwrap_or_default())),
+            Err(_) => Err(RelayError::ReadTimedOut),
+        }
     }
 }
