A response that never ends is broken off at its request's deadline

Cause: buffer_body (upstream/exchange.rs) turns a body of unknown length into a streamed one after 100 ms, the attempt counts as served, and relay.rs knew only a limit for each piece. Change: ResponseDeadline decides by when a streamed response has to be complete. Over 64 KiB there is no limit, as before; a response of unknown length may outlast its deadline while it comes at 32 KiB/s, as it may turn out to be long. Why this works: the deadline is looked at before each wait for the backend, which is the only wait without a limit.

--- a/crates/proxy/src/body_stream.rs
+++ b/crates/proxy/src/body_stream.rs
@@ -12,6 +12,10 @@
 /// Longest request or response body that is forwarded, in bytes.
 pub const MAX_BODY_BYTES: u64 = 36 << 20;
 
+/// Minimum average rate, in bytes per second, at which a peer has to send a body: half of the rate that slow peers
+/// sustain.
+pub const MIN_PEER_BYTES_PER_SECOND: f64 = 32.0 * 1024.0;
+
 /// A chunk of a streamed body. If the channel closes without an `End`, the body is incomplete.
 pub enum BodyChunk {
     /// Bytes of the body and the memory reserved for them.
--- a/crates/proxy/src/body_upload.rs
+++ b/crates/proxy/src/body_upload.rs
@@ -11,13 +11,10 @@
 use tokio::time::{Instant, timeout};
 
 use crate::body_memory::{MemoryBudget, MemoryReservation};
-use crate::body_stream::{BodyChunk, BodySender, MAX_BODY_BYTES};
+use crate::body_stream::{BodyChunk, BodySender, MAX_BODY_BYTES, MIN_PEER_BYTES_PER_SECOND};
 use crate::socket::receive_buffer_size;
 use crate::upload_clock::UploadClock;
 
-/// Minimum average rate at which a client has to send its body, in bytes per second: half of the rate that clients
-/// sustain.
-const MIN_BYTES_PER_SECOND: f64 = 32.0 * 1024.0;
 /// Minimum time by which a client may lag behind that rate.
 const MIN_ALLOWED_LAG: Duration = Duration::from_millis(400);
 /// Longest wait for the next chunk of a body once the client has used up its allowed lag.
@@ -119,7 +116,7 @@
 
     /// The longest time to wait for the next chunk.
     fn max_wait(&self) -> Duration {
-        let expected = Duration::from_secs_f64(self.bytes_received as f64 / MIN_BYTES_PER_SECOND);
+        let expected = Duration::from_secs_f64(self.bytes_received as f64 / MIN_PEER_BYTES_PER_SECOND);
         let until_too_slow = (self.allowed_lag + expected).saturating_sub(self.time_waited);
         let max_pause = MAX_PAUSE.max(self.allowed_lag.saturating_sub(self.time_waited));
         until_too_slow.min(max_pause)
--- a/crates/proxy/src/driver/attempts.rs
+++ b/crates/proxy/src/driver/attempts.rs
@@ -52,6 +52,7 @@
         };
         let limits = AttemptLimits {
             deadline: attempt_deadline(open, timeout, now),
+            request_deadline: open.deadline,
             start_by: start_by.map(|at| self.clock.to_instant(at)),
         };
         spawn_attempt(self.parts.upstreams.clone(), upstream.clone(), open, limits, report);
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -18,10 +18,11 @@
 use super::guard::SendGuard;
 use super::pool::UpstreamPool;
 use super::relay::{Relay, RelayError};
-use super::request::{MessageBody, RequestBody, UpstreamRequest};
+use super::request::{MessageBody, RequestBody, Upload, UpstreamRequest};
 use super::request_progress::RequestProgress;
 use super::request_state::{RequestState, SharedRequestState};
 use super::response::UpstreamResponse;
+use super::response_deadline::ResponseDeadline;
 use crate::body_stream::BodyStream;
 
 /// The time limits of an attempt.
@@ -29,6 +30,8 @@
 pub struct AttemptLimits {
     /// When the wait for the response ends.
     pub deadline: Instant,
+    /// When the client stops waiting for the response, unless the request's body is streamed: its `Upload` knows then.
+    pub request_deadline: Instant,
     /// The instant from which the attempt may no longer start: the end of the request's idempotency window. Set if an
     /// earlier attempt of the request may have run.
     pub start_by: Option<Instant>,
@@ -248,7 +251,9 @@
                 if !reusable {
                     return false;
                 }
-                let mut relay = Relay::new(rest, sender, &self.pool.memory.streamed);
+                let request_deadline = self.request_deadline();
+                let deadline = ResponseDeadline { request_deadline, first_byte_at, length };
+                let mut relay = Relay::new(rest, sender, &self.pool.memory.streamed, deadline);
                 let relayed = relay.run(read).await;
                 self.log_streamed_response(&relay, relayed.is_ok());
                 self.relay_succeeded(relayed)
@@ -256,6 +261,11 @@
         }
     }
 
+    /// When the client stops waiting for the response, as far as is known now.
+    fn request_deadline(&self) -> Instant {
+        self.request.upload().map_or(self.limits.request_deadline, Upload::response_deadline)
+    }
+
     /// Returns whether a response was streamed to its end, and logs a failure of the backend.
     fn relay_succeeded(&self, relayed: Result<(), RelayError>) -> bool {
         match relayed {
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -15,12 +15,13 @@
 use super::headers::remove_hop_by_hop_headers;
 use super::request::MessageBody;
 use super::request_progress::RequestProgress;
+use super::response_deadline::MAX_SHORT_RESPONSE_BYTES;
 use super::response_progress::STALL_TIMEOUT;
 use crate::body_stream::MAX_BODY_BYTES;
 
 /// Longest response body that is buffered, in bytes. Until the body is complete, the proxy can still replace the
 /// response by another backend's.
-const MAX_BUFFERED_BYTES: usize = 64 << 10;
+const MAX_BUFFERED_BYTES: usize = MAX_SHORT_RESPONSE_BYTES;
 /// How long a response of unknown length is buffered, in case it turns out to be short.
 const BUFFERING_TIME: Duration = Duration::from_millis(100);
 
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -37,6 +37,7 @@
 mod request_progress;
 mod request_state;
 mod response;
+mod response_deadline;
 mod response_progress;
 mod socket_budget;
 mod write_progress;
--- a/crates/proxy/src/upstream/relay.rs
+++ b/crates/proxy/src/upstream/relay.rs
@@ -5,9 +5,10 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 
 use super::relay_times::RelayTimes;
+use super::response_deadline::ResponseDeadline;
 use crate::body_memory::MemoryBudget;
 use crate::body_stream::{BodyChunk, BodySender, MAX_BODY_BYTES};
 
@@ -24,6 +25,9 @@
     TooLong,
     #[error("timed out while reading the response body")]
     ReadTimedOut,
+    /// The response is short, or has not shown that it is long, and is not complete in time.
+    #[error("response not complete at its deadline")]
+    DeadlinePassed,
     /// The client no longer reads the response.
     #[error("client disconnected")]
     ClientDisconnected,
@@ -34,6 +38,7 @@
     rest: Incoming,
     sender: BodySender,
     memory: &'a MemoryBudget,
+    deadline: ResponseDeadline,
     /// Bytes of the body received from the backend so far.
     received: u64,
     /// What the time was spent on.
@@ -42,8 +47,10 @@
 
 impl<'a> Relay<'a> {
     /// Prepares to stream a response whose body continues with `rest`.
-    pub(super) fn new(rest: Incoming, sender: BodySender, memory: &'a MemoryBudget) -> Self {
-        Relay { rest, sender, memory, received: 0, times: RelayTimes::default() }
+    pub(super) fn new(
+        rest: Incoming, sender: BodySender, memory: &'a MemoryBudget, deadline: ResponseDeadline,
+    ) -> Self {
+        Relay { rest, sender, memory, deadline, received: 0, times: RelayTimes::default() }
     }
 
     /// Streams the body: first the bytes in `buffered`, then the rest. Returns once the whole body has been received and
@@ -93,11 +100,15 @@
     /// Reads the next frame. Returns its data, which is empty for a frame of trailers, or `None` at the end of the body.
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, RelayError> {
         let started_at = Instant::now();
-        let frame = timeout(CHUNK_TIMEOUT, self.rest.frame()).await;
+        let chunk_timeout_at = started_at + CHUNK_TIMEOUT;
+        let complete_by = self.deadline.complete_by(self.received, self.times.client_wait());
+        let wait_until = complete_by.unwrap_or(chunk_timeout_at).min(chunk_timeout_at);
+        let frame = timeout_at(wait_until, self.rest.frame()).await;
         self.times.backend += started_at.elapsed();
         match frame {
             Ok(None) => Ok(None),
             Ok(Some(frame)) => Ok(Some(frame?.into_data().unwrap_or_default())),
+            Err(_) if wait_until < chunk_timeout_at => Err(RelayError::DeadlinePassed),
             Err(_) => Err(RelayError::ReadTimedOut),
         }
     }
--- a/crates/proxy/src/upstream/relay_times.rs
+++ b/crates/proxy/src/upstream/relay_times.rs
@@ -12,3 +12,11 @@
     /// For the client to take a part.
     pub(super) client: Duration,
 }
+
+impl RelayTimes {
+    /// The time for which nothing was read from the backend because the client, or those of other responses, had not
+    /// taken what was there.
+    pub(super) fn client_wait(&self) -> Duration {
+        self.client + self.memory
+    }
+}
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -89,7 +89,7 @@
     tokio::task::spawn_local(async move {
         let mut reported = None;
         let deadline = Instant::now() + Duration::from_secs(60);
-        let limits = AttemptLimits { deadline, start_by: None };
+        let limits = AttemptLimits { deadline, request_deadline: deadline, start_by: None };
         pool.attempt(endpoint, state, request, limits, |outcome, _| reported = Some(outcome)).await;
         reported
     })
