Each streamed body has a window of its own, so slow clients hold no other body back

Cause: relay.rs and body_upload.rs waited without a limit for one memory budget of all streams, which slow streams hold until their peers have taken something. Evidence: the log event of streamed responses: prompt responses waited 3,089 to 3,098 of 3,100 ms for memory, none for backend or client. Change: a stream's chunks count against its own window of 16 KiB, until they are dropped; the shared budget for streams is gone. Why this works: a stream waits for its own two peers alone.

--- a/crates/cli/tests/endless_responses.rs
+++ b/crates/cli/tests/endless_responses.rs
@@ -1,9 +1,8 @@
 //! Responses without a length that never end, and those that only take long.
 mod sockets;
 
-use std::io::{BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::thread;
+use std::io::{ErrorKind, Read};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use sockets::*;
@@ -18,63 +17,14 @@
 /// Length in bytes of a request body that is forwarded while it is received.
 const STREAMED_BODY_BYTES: usize = 1_000_000;
 
-const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+/// The head of a response that lasts to the end of its connection.
 const UNDELIMITED_HEAD: &str = "HTTP/1.1 200 OK\r\n\r\n";
 
-/// One piece of a chunked body.
-fn chunk(length: usize) -> String {
-    format!("{length:x}\r\n{}\r\n", "x".repeat(length))
-}
-
-/// A backend that writes `head`, then `piece` every `pause`: `pieces` times, or until the proxy closes the connection.
-/// After the last piece it writes `end`.
-#[derive(Clone)]
-struct Script {
-    head: &'static str,
-    piece: String,
-    pause: Duration,
-    pieces: usize,
-    end: &'static str,
-}
-
-impl Script {
-    /// A response that brings a few bytes now and then, and never ends.
-    fn endless(head: &'static str) -> Self {
-        Script { head, piece: chunk(5), pause: Duration::from_millis(100), pieces: usize::MAX, end: "" }
-    }
-
-    fn serve(&self, stream: TcpStream) -> std::io::Result<()> {
-        let mut reader = BufReader::new(stream.try_clone()?);
-        let mut stream = stream;
-        while read_message(&mut reader).is_some() {
-            stream.write_all(self.head.as_bytes())?;
-            for _ in 0..self.pieces {
-                stream.write_all(self.piece.as_bytes())?;
-                // The pause is the pace of the backend; it does not wait for an event.
-                thread::sleep(self.pause);
-            }
-            stream.write_all(self.end.as_bytes())?;
-        }
-        Ok(())
-    }
-}
-
-/// Starts a backend that responds to each request by the script; returns its address.
-fn start_backend(script: Script) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("a listener");
-    thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            let script = script.clone();
-            thread::spawn(move || script.serve(stream));
-        }
-    });
-    address
-}
-
-fn proxy_before(script: Script) -> (Discovery, Proxy) {
+/// Starts a proxy before a backend that gives this response to each request.
+fn proxy_before(response: PacedResponse) -> (Discovery, Proxy) {
+    let backend = start_paced_backend(move |_| response.clone());
     let discovery = Discovery::new();
-    discovery.publish(&list(1, true, &[host("s-0", start_backend(script), "up", 0)]));
+    discovery.publish(&list(1, true, &[host("s-0", backend, "up", 0)]));
     let proxy = Proxy::start_ready(&discovery, &setup_with_admin());
     (discovery, proxy)
 }
@@ -113,7 +63,7 @@
 #[test]
 fn response_that_never_ends_is_broken_off_at_its_deadline() {
     for head in [CHUNKED_HEAD, UNDELIMITED_HEAD] {
-        let (_discovery, proxy) = proxy_before(Script::endless(head));
+        let (_discovery, proxy) = proxy_before(PacedResponse::endless(head));
         assert_broken_off_in_time(&proxy, &page_with_timeout("r-1"));
         wait_for("the request to fail", || proxy.stat("/failed/page") == 1);
         assert_eq!(proxy.stat("/pending"), 0);
@@ -127,7 +77,7 @@
 /// byte.
 #[test]
 fn response_that_never_ends_to_a_long_body_is_broken_off_at_its_deadline() {
-    let (_discovery, proxy) = proxy_before(Script::endless(CHUNKED_HEAD));
+    let (_discovery, proxy) = proxy_before(PacedResponse::endless(CHUNKED_HEAD));
     assert_broken_off_in_time(&proxy, &submit("r-1", TIMEOUT, &"x".repeat(STREAMED_BODY_BYTES)));
     wait_for("the request to fail", || proxy.stat("/failed/submit") == 1);
 }
@@ -135,7 +85,7 @@
 /// Guards against a process that can't end because a response never ends.
 #[test]
 fn response_that_never_ends_does_not_outlast_its_deadline_at_shutdown() {
-    let (_discovery, mut proxy) = proxy_before(Script::endless(CHUNKED_HEAD));
+    let (_discovery, mut proxy) = proxy_before(PacedResponse::endless(CHUNKED_HEAD));
     let mut client = proxy.client();
     client.send(&page_with_timeout("r-1"));
     client.read_head();
@@ -146,14 +96,14 @@
 /// Guards against a limit that also ends long responses: over 64 KiB the first byte decides.
 #[test]
 fn response_without_length_over_64_kib_may_outlast_its_deadline() {
-    let script = Script {
+    let response = PacedResponse {
         piece: chunk(SHORT_RESPONSE_BYTES + 1),
         pieces: 2,
         pause: ANSWERED_WITHIN,
-        end: "0\r\n\r\n",
-        ..Script::endless(CHUNKED_HEAD)
+        end: LAST_CHUNK,
+        ..PacedResponse::endless(CHUNKED_HEAD)
     };
-    let (_discovery, proxy) = proxy_before(script);
+    let (_discovery, proxy) = proxy_before(response);
     let response = proxy.client().request(&page_with_timeout("r-1")).expect("a complete response");
     assert_eq!(response.body.len(), 2 * (SHORT_RESPONSE_BYTES + 1));
 }
@@ -162,14 +112,14 @@
 /// peers write.
 #[test]
 fn steady_response_without_length_may_outlast_its_deadline() {
-    let script = Script {
+    let response = PacedResponse {
         piece: chunk(6_400),
         pieces: 18,
         pause: Duration::from_millis(100),
-        end: "0\r\n\r\n",
-        ..Script::endless(CHUNKED_HEAD)
+        end: LAST_CHUNK,
+        ..PacedResponse::endless(CHUNKED_HEAD)
     };
-    let (_discovery, proxy) = proxy_before(script);
+    let (_discovery, proxy) = proxy_before(response);
     let request = page("r-1").replace("X-Timeout: 5", "X-Timeout: 0.5");
     let response = proxy.client().request(&request).expect("a complete response");
     assert_eq!(response.body.len(), 18 * 6_400);
--- a/crates/cli/tests/sockets/client.rs
+++ b/crates/cli/tests/sockets/client.rs
@@ -26,6 +26,11 @@
         self.0.get_ref().set_nodelay(true).expect("a connection");
     }
 
+    /// Sets how long a read waits for the next bytes; [`LIMIT`] if this is not called.
+    pub fn set_read_timeout(&self, timeout: Duration) {
+        self.0.get_ref().set_read_timeout(Some(timeout)).expect("a read timeout");
+    }
+
     /// Reads a response; `None` if the connection ends before it is complete.
     pub fn response(&mut self) -> Option<Message> {
         read_message(&mut self.0)
--- a/crates/cli/tests/sockets/setup.rs
+++ b/crates/cli/tests/sockets/setup.rs
@@ -10,6 +10,8 @@
     pub cached_list: String,
     /// The `sockets` limit in the configuration.
     pub max_descriptors: usize,
+    /// The `memory_mb` limit in the configuration.
+    pub memory_mb: usize,
     /// The time after which idle connections are closed, in milliseconds.
     pub idle_timeout_ms: u32,
     /// The timeout for connecting to a backend, in milliseconds.
@@ -31,6 +33,7 @@
         Setup {
             cached_list: "null".into(),
             max_descriptors: 256,
+            memory_mb: 192,
             idle_timeout_ms: 30_000,
             connect_timeout_ms: 400,
             deadline_ms: 5000,
@@ -82,7 +85,7 @@
     let admin = if setup.has_admin { r#""admin_addr":"127.0.0.1:0","# } else { "" };
     format!(
         r#"{{"name":"n0","listen":"127.0.0.1:0",{admin}"discovery":"{discovery}","seed":"8c1f30d27a5be964",
-        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},{peers}"known":{},
+        "limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},{peers}"known":{},
         "settings":{{"zone":"a","zones":["a"],"flavors":["k"],"nInstances":{},"myNumber":0,"discovery":"pushed",
         "weightSource":"nominal","accounts":[{{"name":"acme","allowancePerS":1000}}],"callers":{{"marksRetry":true}},
         "classes":[{{"name":"page","effect":"idempotent","promise":{latency_objective},"deadline":{deadline},"worth":1}},
@@ -90,6 +93,7 @@
         {{"name":"booking","effect":"deduplicated","dedupScope":"cell","window":2500,"promise":{latency_objective},"deadline":{deadline},"worth":1}}],
         "ceilings":{{"maxAttempts":6,"dialTimeout":{},"idleClose":{},"mayTell":{gossip_enabled}}},
         "rules":{{"startCapacity":0.3,"cold":8700,"fall":1500,"fallMultiple":2.5,"drainGrace":500}}}}}}"#,
+        setup.memory_mb,
         setup.max_descriptors,
         setup.cached_list,
         if gossip_enabled { 2 } else { 1 },
--- a/crates/proxy/src/body_memory.rs
+++ b/crates/proxy/src/body_memory.rs
@@ -1,7 +1,8 @@
-//! Memory budgets for request and response bodies, except small ones.
+//! Memory budgets for bodies, and bytes that hold their part of a budget for as long as they exist.
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// Bytes of memory that one semaphore permit represents.
@@ -23,11 +24,6 @@
         MemoryBudget(Arc::new(Semaphore::new(permits)))
     }
 
-    /// Reserves `bytes`, waiting until the budget has that much left.
-    pub async fn reserve(&self, bytes: usize) -> Option<MemoryReservation> {
-        self.0.clone().acquire_many_owned(permits(bytes)).await.ok()
-    }
-
     /// Reserves `bytes` if the budget has that much left now.
     pub fn try_reserve(&self, bytes: usize) -> Option<MemoryReservation> {
         self.0.clone().try_acquire_many_owned(permits(bytes)).ok()
@@ -38,13 +34,21 @@
     bytes.div_ceil(BYTES_PER_PERMIT) as u32 // never truncates: a chunk needs far fewer permits than u32::MAX
 }
 
-/// The memory budgets for all bodies that are not small. They are separate so that slow clients, whose requests occupy
-/// the read-ahead budget, can't use up the memory of streamed bodies.
-pub struct BodyMemory {
-    /// Budget for the chunks of streamed bodies.
-    pub streamed: MemoryBudget,
-    /// Budget for the part of each request body that is read before the request is submitted.
-    pub read_ahead: MemoryBudget,
+/// Bytes with the reservation of their memory.
+struct ReservedBytes<T> {
+    bytes: T,
+    _reservation: MemoryReservation,
+}
+
+impl<T: AsRef<[u8]>> AsRef<[u8]> for ReservedBytes<T> {
+    fn as_ref(&self) -> &[u8] {
+        self.bytes.as_ref()
+    }
+}
+
+/// Joins bytes with the reservation of their memory, which is released with the last of the result's clones and slices.
+pub fn reserved_bytes(bytes: impl AsRef<[u8]> + Send + 'static, reservation: MemoryReservation) -> Bytes {
+    Bytes::from_owner(ReservedBytes { bytes, _reservation: reservation })
 }
 
 #[cfg(test)]
--- a/crates/proxy/src/body_stream.rs
+++ b/crates/proxy/src/body_stream.rs
@@ -1,13 +1,17 @@
 //! Streamed bodies: a body that is too long to be buffered is forwarded chunk by chunk.
+//!
+//! Each stream has a window of its own: so many bytes may have been read from the one peer and not yet been taken by the
+//! other. A slow peer uses up the window of its own stream, and holds back no other stream.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 
-use crate::body_memory::MemoryReservation;
+use crate::body_memory::reserved_bytes;
 
 /// Longest request or response body that is forwarded, in bytes.
 pub const MAX_BODY_BYTES: u64 = 36 << 20;
@@ -16,16 +20,54 @@
 /// sustain.
 pub const MIN_PEER_BYTES_PER_SECOND: f64 = 32.0 * 1024.0;
 
+/// Bytes of one stream that may be in this process at once.
+pub const STREAM_WINDOW_BYTES: usize = 16 << 10;
+/// Longest chunk of a streamed body, in bytes: while the reader takes one chunk, the next one can be received.
+const MAX_CHUNK_BYTES: usize = STREAM_WINDOW_BYTES / 2;
+
 /// A chunk of a streamed body. If the channel closes without an `End`, the body is incomplete.
-pub enum BodyChunk {
-    /// Bytes of the body and the memory reserved for them.
-    Data(Bytes, Option<MemoryReservation>),
+enum BodyChunk {
+    /// Bytes of the body.
+    Data(Bytes),
     /// The body is complete.
     End,
 }
 
+/// The reader of a stream has stopped before its end.
+#[derive(Debug, thiserror::Error)]
+#[error("the reader of the body has stopped")]
+pub struct ReaderStopped;
+
 /// The sending end of a [`BodyStream`].
-pub type BodySender = mpsc::Sender<BodyChunk>;
+pub struct BodySender {
+    chunks: mpsc::Sender<BodyChunk>,
+    /// A permit for each byte that may still be sent before the reader has taken more.
+    window: Arc<Semaphore>,
+}
+
+impl BodySender {
+    /// Sends a part of the body by copy, so that the buffer that `data` was read into is free again. Waits while the
+    /// window is used up.
+    pub async fn send(&self, data: &[u8]) -> Result<(), ReaderStopped> {
+        for chunk in data.chunks(MAX_CHUNK_BYTES) {
+            let permits = self.window.clone().acquire_many_owned(chunk.len() as u32).await;
+            let reservation = permits.map_err(|_| ReaderStopped)?;
+            let bytes = reserved_bytes(Box::<[u8]>::from(chunk), reservation);
+            self.send_reserved(bytes).await?;
+        }
+        Ok(())
+    }
+
+    /// Sends bytes that hold their own reservation, outside of the window.
+    pub async fn send_reserved(&self, data: Bytes) -> Result<(), ReaderStopped> {
+        self.chunks.send(BodyChunk::Data(data)).await.map_err(|_| ReaderStopped)
+    }
+
+    /// Ends a complete body.
+    pub async fn end(&self) {
+        let _ = self.chunks.send(BodyChunk::End).await; // fails if a reader that knows the length has stopped
+    }
+}
 
 /// Callback for the end of a stream. It is called at most once, with `true` if the body was complete, and dropped
 /// without a call if the stream is dropped before its end has been read.
@@ -48,6 +90,7 @@
     /// Creates a stream and its sending end. `length` is the length of the complete body, if it is known.
     pub fn new(length: Option<u64>) -> (BodySender, Self) {
         let (sender, chunks) = mpsc::channel(1);
+        let sender = BodySender { chunks: sender, window: Arc::new(Semaphore::new(STREAM_WINDOW_BYTES)) };
         let stream = BodyStream { chunks, remaining: length, on_end: None };
         (sender, stream)
     }
@@ -85,7 +128,7 @@
             return Poll::Ready(None);
         }
         match ready!(self.chunks.poll_recv(cx)) {
-            Some(BodyChunk::Data(data, _reservation)) => {
+            Some(BodyChunk::Data(data)) => {
                 self.record_read(data.len());
                 Poll::Ready(Some(Ok(Frame::data(data))))
             }
--- a/crates/proxy/src/body_stream/tests.rs
+++ b/crates/proxy/src/body_stream/tests.rs
@@ -16,14 +16,18 @@
     reported_complete: Option<bool>,
 }
 
-async fn collect(length: Option<u64>, chunks: Vec<BodyChunk>) -> StreamEnd {
+/// Sends `chunks` chunks of four bytes, and then the end if `with_end`, to a stream of this length.
+async fn collect(length: Option<u64>, chunks: usize, with_end: bool) -> StreamEnd {
     let (sender, mut stream) = BodyStream::new(length);
     let reported_complete = Rc::new(Cell::new(None));
     let reported = reported_complete.clone();
     stream.on_end(Box::new(move |complete| reported.set(Some(complete))));
     let send_all = async move {
-        for chunk in chunks {
-            let _ = sender.send(chunk).await;
+        for _ in 0..chunks {
+            let _ = sender.send(b"1234").await;
+        }
+        if with_end {
+            sender.end().await;
         }
     };
     let (_, body) = tokio::join!(send_all, stream.collect());
@@ -38,12 +42,45 @@
 #[test]
 fn stream_is_complete_only_with_its_end_or_its_length() {
     let runtime = tokio::runtime::Builder::new_current_thread().build().expect("failed to build the runtime");
-    let run = |length, chunks| runtime.block_on(collect(length, chunks));
-    let data = || BodyChunk::Data(Bytes::from_static(b"1234"), None);
+    let run = |length, chunks, with_end| runtime.block_on(collect(length, chunks, with_end));
     let complete = || StreamEnd { bytes_read: Some(8), reported_complete: Some(true) };
     let incomplete = || StreamEnd { bytes_read: None, reported_complete: Some(false) };
-    assert_eq!(run(None, vec![data(), data(), BodyChunk::End]), complete());
-    assert_eq!(run(None, vec![data(), data()]), incomplete());
-    assert_eq!(run(Some(8), vec![data(), data()]), complete());
-    assert_eq!(run(Some(9), vec![data(), data(), BodyChunk::End]), incomplete());
+    assert_eq!(run(None, 2, true), complete());
+    assert_eq!(run(None, 2, false), incomplete());
+    assert_eq!(run(Some(8), 2, false), complete());
+    assert_eq!(run(Some(9), 2, true), incomplete());
+}
+
+/// Guards against a stream whose reader is slow and which takes ever more memory: a chunk counts until it is dropped.
+#[test]
+fn sender_waits_while_the_window_is_used_up() {
+    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("failed to build the runtime");
+    runtime.block_on(async {
+        let (sender, mut stream) = BodyStream::new(None);
+        let data = vec![0; 2 * STREAM_WINDOW_BYTES];
+        let mut sending = std::pin::pin!(sender.send(&data));
+        let mut taken = Vec::new();
+        loop {
+            let sent = poll_once(sending.as_mut()).await;
+            let Some(chunk) = poll_once(std::pin::pin!(stream.frame())).await else {
+                assert!(sent.is_none(), "the window is used up before all is sent");
+                break;
+            };
+            taken.push(chunk.expect("a frame").expect("data").into_data().expect("data"));
+        }
+        assert_eq!(taken.iter().map(Bytes::len).sum::<usize>(), STREAM_WINDOW_BYTES);
+        taken.remove(0);
+        assert!(poll_once(sending.as_mut()).await.is_none());
+        let chunk = stream.frame().await.expect("a frame").expect("data").into_data().expect("data");
+        assert_eq!(chunk.len(), MAX_CHUNK_BYTES, "what has been dropped makes room for as much");
+    });
+}
+
+/// Polls a future once.
+async fn poll_once<F: Future + Unpin>(mut future: F) -> Option<F::Output> {
+    std::future::poll_fn(|cx| match Pin::new(&mut future).poll(cx) {
+        Poll::Ready(output) => Poll::Ready(Some(output)),
+        Poll::Pending => Poll::Ready(None),
+    })
+    .await
 }
--- a/crates/proxy/src/body_upload.rs
+++ b/crates/proxy/src/body_upload.rs
@@ -10,8 +10,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
-use crate::body_memory::{MemoryBudget, MemoryReservation};
-use crate::body_stream::{BodyChunk, BodySender, MAX_BODY_BYTES, MIN_PEER_BYTES_PER_SECOND};
+use crate::body_memory::{MemoryReservation, reserved_bytes};
+use crate::body_stream::{BodySender, MAX_BODY_BYTES, MIN_PEER_BYTES_PER_SECOND};
 use crate::socket::receive_buffer_size;
 use crate::upload_clock::UploadClock;
 
@@ -143,22 +143,23 @@
 /// Forwards a client's body: first the part already received, then the rest as it arrives. Returns once the end has
 /// been forwarded or the reader has dropped the stream, or with an error if the client sends the body too slowly or
 /// malformed.
-pub async fn forward_body(
-    body: PartialBody, sender: BodySender, memory: MemoryBudget,
-) -> Result<(), BodyError> {
-    let PartialBody { received, memory: reservation, mut rest } = body;
-    if sender.send(BodyChunk::Data(received, reservation)).await.is_err() {
+pub async fn forward_body(body: PartialBody, sender: BodySender) -> Result<(), BodyError> {
+    let PartialBody { received, memory, mut rest } = body;
+    let sent = match memory {
+        Some(reservation) => sender.send_reserved(reserved_bytes(received, reservation)).await,
+        None => sender.send(&received).await,
+    };
+    if sent.is_err() {
         return Ok(());
     }
     while let Some(data) = rest.next().await? {
         if rest.bytes_received() as u64 > MAX_BODY_BYTES {
             return Err(BodyError::Malformed);
         }
-        let reservation = memory.reserve(data.len()).await;
-        if sender.send(BodyChunk::Data(data, reservation)).await.is_err() {
+        if sender.send(&data).await.is_err() {
             return Ok(());
         }
     }
-    let _ = sender.send(BodyChunk::End).await; // fails if the reader knew the length and has already stopped
+    sender.end().await;
     Ok(())
 }
--- a/crates/proxy/src/frontend/body.rs
+++ b/crates/proxy/src/frontend/body.rs
@@ -61,7 +61,7 @@
             ReadAhead::Partial(partial) => partial,
         };
         let (sender, stream) = BodyStream::new(partial.length());
-        let upload = forward_body(partial, sender, self.upstreams.memory.streamed.clone());
+        let upload = forward_body(partial, sender);
         let body = RequestBody::Streamed(self.upload(stream, id, clock, client_timeout));
         Ok(ReceivedBody { body, upload: Some(upload) })
     }
@@ -92,7 +92,7 @@
         while let Some(data) = receiver.next().await? {
             received.extend_from_slice(&data);
             if receiver.bytes_received() > SMALL_BODY_BYTES && memory.is_none() {
-                memory = self.upstreams.memory.read_ahead.try_reserve(MAX_READ_AHEAD_BYTES);
+                memory = self.upstreams.read_ahead_memory.try_reserve(MAX_READ_AHEAD_BYTES);
             }
             let limit = if memory.is_some() { MAX_READ_AHEAD_BYTES } else { SMALL_BODY_BYTES };
             if receiver.bytes_received() > limit {
--- a/crates/proxy/src/server/run.rs
+++ b/crates/proxy/src/server/run.rs
@@ -15,7 +15,7 @@
 use super::bound_sockets::BoundSockets;
 use super::reload::Reloader;
 use crate::admin::{self, CommandRequest};
-use crate::body_memory::{BodyMemory, MemoryBudget};
+use crate::body_memory::MemoryBudget;
 use crate::classes::Classes;
 use crate::config::{ClientProtocol, Config, EndpointSource};
 use crate::discovery::{self, DiscoveryCalls};
@@ -28,9 +28,9 @@
 use crate::metrics::Metrics;
 use crate::upstream::UpstreamPool;
 
-/// Denominator of the fraction of the configured memory that each of two budgets gets: one for bodies that are
-/// streamed, one for bodies that are read ahead. Two processes share the memory during an upgrade.
-const BODY_MEMORY_DIVISOR: usize = 12;
+/// Denominator of the fraction of the configured memory that bodies get which are read ahead. Two processes share the
+/// memory during an upgrade.
+const READ_AHEAD_MEMORY_DIVISOR: usize = 12;
 /// File descriptors reserved for uses other than client and upstream connections: standard streams, runtime, signals,
 /// listener, gossip and discovery.
 const RESERVED_DESCRIPTORS: usize = 32;
@@ -181,10 +181,9 @@
 }
 
 fn new_upstreams(config: &Config, max_connections: usize, metrics: &Arc<Metrics>) -> UpstreamPool {
-    let new_budget = || MemoryBudget::new(config.max_memory / BODY_MEMORY_DIVISOR);
-    let memory = BodyMemory { streamed: new_budget(), read_ahead: new_budget() };
+    let read_ahead_memory = MemoryBudget::new(config.max_memory / READ_AHEAD_MEMORY_DIVISOR);
     let is_plain = matches!(config.client_protocol, ClientProtocol::Plain(_));
-    UpstreamPool::new(&config.connections, max_connections, is_plain, metrics.clone(), memory)
+    UpstreamPool::new(&config.connections, max_connections, is_plain, metrics.clone(), read_ahead_memory)
 }
 
 fn log_start(config: &Config, addresses: &Addresses) {
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -253,7 +253,7 @@
                 }
                 let request_deadline = self.request_deadline();
                 let deadline = ResponseDeadline { request_deadline, first_byte_at, length };
-                let mut relay = Relay::new(rest, sender, &self.pool.memory.streamed, deadline);
+                let mut relay = Relay::new(rest, sender, deadline);
                 let relayed = relay.run(read).await;
                 self.log_streamed_response(&relay, relayed.is_ok());
                 self.relay_succeeded(relayed)
@@ -279,15 +279,13 @@
     }
 
     fn log_streamed_response(&self, relay: &Relay, complete: bool) {
-        let times = relay.times();
         debug!(
             request = self.request.request_id(),
             backend = %self.endpoint.address,
             complete,
             bytes = relay.received(),
-            waited_for_backend_ms = times.backend.as_millis() as u64,
-            waited_for_client_ms = times.client.as_millis() as u64,
-            waited_for_memory_ms = times.memory.as_millis() as u64,
+            waited_for_backend_ms = relay.backend_wait().as_millis() as u64,
+            waited_for_client_ms = relay.client_wait().as_millis() as u64,
             "streamed response ended"
         );
     }
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -31,7 +31,6 @@
 mod keep_alive;
 mod pool;
 mod relay;
-mod relay_times;
 mod request;
 mod request_framing;
 mod request_progress;
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -14,7 +14,7 @@
 use super::endpoint::UpstreamEndpoint;
 use super::keep_alive::{KeepAlive, MIN_KEEP_ALIVE};
 use super::socket_budget::SocketBudget;
-use crate::body_memory::BodyMemory;
+use crate::body_memory::MemoryBudget;
 use crate::close_reason::BackendCloseReason;
 use crate::metrics::Metrics;
 
@@ -31,8 +31,8 @@
 
 /// State that all attempts share: the connection pool, the timeouts and the socket budget.
 pub struct UpstreamPool {
-    /// The memory budgets for bodies, shared with the client side.
-    pub memory: BodyMemory,
+    /// The memory budget for the part of each request body that is read before the request is submitted.
+    pub read_ahead_memory: MemoryBudget,
     /// Whether plain HTTP/1.1 is used instead of the platform's protocol. In plain HTTP every status below 500 except
     /// 101 counts as served, and error responses that have been buffered completely are passed on unchanged.
     pub(super) is_plain_http: bool,
@@ -50,10 +50,10 @@
     /// Creates an empty pool with a budget of `max_sockets`.
     pub fn new(
         connections: &ConnectionTimeouts, max_sockets: usize, is_plain_http: bool, metrics: Arc<Metrics>,
-        memory: BodyMemory,
+        read_ahead_memory: MemoryBudget,
     ) -> Self {
         UpstreamPool {
-            memory,
+            read_ahead_memory,
             is_plain_http,
             metrics,
             connect_timeout: Cell::new(connect_timeout(connections)),
--- a/crates/proxy/src/upstream/relay.rs
+++ b/crates/proxy/src/upstream/relay.rs
@@ -7,10 +7,8 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
-use super::relay_times::RelayTimes;
 use super::response_deadline::ResponseDeadline;
-use crate::body_memory::MemoryBudget;
-use crate::body_stream::{BodyChunk, BodySender, MAX_BODY_BYTES};
+use crate::body_stream::{BodySender, MAX_BODY_BYTES};
 
 /// How long to wait for the next part of a response of which the client may already have received a part. Another
 /// backend's response can't replace it any more.
@@ -34,23 +32,29 @@
 }
 
 /// Streams one response as fast as its client reads.
-pub(super) struct Relay<'a> {
+pub(super) struct Relay {
     rest: Incoming,
     sender: BodySender,
-    memory: &'a MemoryBudget,
     deadline: ResponseDeadline,
     /// Bytes of the body received from the backend so far.
     received: u64,
-    /// What the time was spent on.
-    times: RelayTimes,
+    /// The time spent waiting for the backend to give the next part.
+    backend_wait: Duration,
+    /// The time spent waiting for the client to take a part.
+    client_wait: Duration,
 }
 
-impl<'a> Relay<'a> {
+impl Relay {
     /// Prepares to stream a response whose body continues with `rest`.
-    pub(super) fn new(
-        rest: Incoming, sender: BodySender, memory: &'a MemoryBudget, deadline: ResponseDeadline,
-    ) -> Self {
-        Relay { rest, sender, memory, deadline, received: 0, times: RelayTimes::default() }
+    pub(super) fn new(rest: Incoming, sender: BodySender, deadline: ResponseDeadline) -> Self {
+        Relay {
+            rest,
+            sender,
+            deadline,
+            received: 0,
+            backend_wait: Duration::ZERO,
+            client_wait: Duration::ZERO,
+        }
     }
 
     /// Streams the body: first the bytes in `buffered`, then the rest. Returns once the whole body has been received and
@@ -66,7 +70,7 @@
             match self.next_chunk().await? {
                 Some(data) => next = data,
                 None => {
-                    let _ = self.sender.send(BodyChunk::End).await; // fails if a reader that knows the length has stopped
+                    self.sender.end().await;
                     return Ok(());
                 }
             }
@@ -78,22 +82,21 @@
         self.received
     }
 
-    /// What the time was spent on so far.
-    pub(super) fn times(&self) -> &RelayTimes {
-        &self.times
+    /// The time spent waiting for the backend so far.
+    pub(super) fn backend_wait(&self) -> Duration {
+        self.backend_wait
+    }
+
+    /// The time spent waiting for the client so far.
+    pub(super) fn client_wait(&self) -> Duration {
+        self.client_wait
     }
 
     /// Passes a part of the body on to the client's connection.
     async fn pass_on(&mut self, data: Bytes) -> Result<(), RelayError> {
         let started_at = Instant::now();
-        let reservation = self.memory.reserve(data.len()).await;
-        self.times.memory += started_at.elapsed();
-        if data.is_empty() {
-            return Ok(());
-        }
-        let started_at = Instant::now();
-        let sent = self.sender.send(BodyChunk::Data(data, reservation)).await;
-        self.times.client += started_at.elapsed();
+        let sent = self.sender.send(&data).await;
+        self.client_wait += started_at.elapsed();
         sent.map_err(|_| RelayError::ClientDisconnected)
     }
 
@@ -101,10 +104,10 @@
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, RelayError> {
         let started_at = Instant::now();
         let chunk_timeout_at = started_at + CHUNK_TIMEOUT;
-        let complete_by = self.deadline.complete_by(self.received, self.times.client_wait());
+        let complete_by = self.deadline.complete_by(self.received, self.client_wait);
         let wait_until = complete_by.unwrap_or(chunk_timeout_at).min(chunk_timeout_at);
         let frame = timeout_at(wait_until, self.rest.frame()).await;
-        self.times.backend += started_at.elapsed();
+        self.backend_wait += started_at.elapsed();
         match frame {
             Ok(None) => Ok(None),
             Ok(Some(frame)) => Ok(Some(frame?.into_data().unwrap_or_default())),
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -18,7 +18,7 @@
 use super::keep_alive::MIN_KEEP_ALIVE;
 use super::request_framing::HEAD_END;
 use super::*;
-use crate::body_memory::{BodyMemory, MemoryBudget};
+use crate::body_memory::MemoryBudget;
 
 mod units;
 
@@ -53,7 +53,7 @@
 
 fn new_pool(sockets: usize) -> Rc<UpstreamPool> {
     let connections = ConnectionTimeouts { connect_timeout: 600_000.0, backend_idle_timeout: 600_000.0 };
-    let memory = BodyMemory { streamed: MemoryBudget::new(1 << 20), read_ahead: MemoryBudget::new(1 << 20) };
+    let memory = MemoryBudget::new(1 << 20);
     let pool = UpstreamPool::new(&connections, sockets, false, Arc::default(), memory);
     pool.set_list_valid_until(list_valid_until().get());
     Rc::new(pool)
