The watchdog for clients that take nothing of a response is armed

Cause: next_event (frontend/connection.rs) had the watchdog as a branch of select! whose precondition is evaluated when the connection begins to be served, before any response. Change: WriteWatchdog::expired waits for the start of a response and then for its limit. The limit of 10 s was never in effect and is too short: Linux reports a socket as writable when a third of its send buffer is free, which at 64 kB a second took up to 32 s here. It is now the time in which a client at 32 KiB/s empties the whole send buffer, at least 4 MiB. Why this works: the wait is a future that begins with the connection and looks at the response's state itself.

--- a/crates/proxy/src/frontend/connection.rs
+++ b/crates/proxy/src/frontend/connection.rs
@@ -15,7 +15,7 @@
 use super::linger::reject_incomplete;
 use super::{Frontend, MAX_HEAD_BYTES};
 use crate::close_reason::ClientCloseReason;
-use crate::socket::{PeekResult, peek};
+use crate::socket::{PeekResult, peek, send_buffer_size};
 
 /// Time after which a connection that is shutting down is closed at once, unless a request is in flight.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -26,7 +26,7 @@
     Ended(hyper::Result<()>),
     /// Another part of the frontend wants the connection to close.
     CloseRequested,
-    /// The deadline of the write watchdog has passed. The watchdog may have been reset or stopped meanwhile.
+    /// The client has taken nothing of a streamed response for too long.
     WriteTimedOut,
     /// The close timeout has passed and the connection is still open.
     CloseTimedOut,
@@ -94,9 +94,7 @@
         () = client.close_requested() => ConnectionEvent::CloseRequested,
         // Without this timeout, a streamed response that the client doesn't read would occupy a backend connection
         // forever.
-        () = sleep_until(client.write_watchdog.deadline()), if client.write_watchdog.is_streaming() => {
-            ConnectionEvent::WriteTimedOut
-        }
+        () = client.write_watchdog.expired(|| send_buffer_size(&client.stream)) => ConnectionEvent::WriteTimedOut,
         // Without this timeout, a response that the client doesn't read would occupy the client's socket forever.
         () = sleep_until(close_deadline.unwrap_or_else(Instant::now)), if close_deadline.is_some() => {
             ConnectionEvent::CloseTimedOut
@@ -113,12 +111,11 @@
                 NextStep::Linger
             }
             ConnectionEvent::CloseRequested => self.begin_close(),
-            ConnectionEvent::WriteTimedOut if self.write_watchdog.has_expired() => {
+            ConnectionEvent::WriteTimedOut => {
                 info!(client = %self.address, "client write timed out");
                 self.record_close_reason(ClientCloseReason::WriteTimeout);
                 NextStep::Close
             }
-            ConnectionEvent::WriteTimedOut => NextStep::Serve,
             ConnectionEvent::CloseTimedOut if self.stage.get() == Stage::InFlight => {
                 NextStep::ExtendCloseTimeout
             }
--- a/crates/proxy/src/frontend/write_watchdog.rs
+++ b/crates/proxy/src/frontend/write_watchdog.rs
@@ -3,12 +3,15 @@
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
-use tokio::time::Instant;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until};
 
 use super::streamed_responses::StreamedResponse;
+use crate::body_stream::MIN_PEER_BYTES_PER_SECOND;
 
-/// Time after which a client is disconnected if it reads nothing of a streamed response.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Lower bound of the send buffer that is assumed for a socket, in bytes: the default limit of Linux (`tcp_wmem`). The
+/// operating system may enlarge the buffer at any time.
+const MIN_SEND_BUFFER: u64 = 4 << 20;
 
 /// Tracks the writes of a streamed response to a client's socket.
 pub(super) struct WriteWatchdog {
@@ -18,6 +21,8 @@
     has_ended: Cell<bool>,
     /// When bytes were last written to the socket, or when streaming started.
     last_write: Cell<Instant>,
+    /// Notified when a response starts to be streamed.
+    started: Notify,
 }
 
 impl WriteWatchdog {
@@ -26,6 +31,7 @@
             response: RefCell::default(),
             has_ended: Cell::new(false),
             last_write: Cell::new(now),
+            started: Notify::new(),
         }
     }
 
@@ -34,6 +40,7 @@
         self.response.replace(Some(response));
         self.has_ended.set(false);
         self.last_write.set(Instant::now());
+        self.started.notify_one();
     }
 
     /// Records that hyper has taken the last byte of the streamed response.
@@ -69,13 +76,28 @@
         self.response.borrow().is_some()
     }
 
-    /// The time by which more bytes of a streamed response have to be written.
-    pub(super) fn deadline(&self) -> Instant {
-        self.last_write.get() + WRITE_TIMEOUT
+    /// Waits until a response is being streamed of which the client has taken nothing for the write timeout.
+    /// `send_buffer` returns the size in bytes of the send buffer of the client's socket.
+    pub(super) async fn expired(&self, send_buffer: impl Fn() -> u64) {
+        loop {
+            while !self.is_streaming() {
+                self.started.notified().await;
+            }
+            let deadline = self.last_write.get() + write_timeout(send_buffer());
+            if Instant::now() >= deadline {
+                return;
+            }
+            sleep_until(deadline).await;
+        }
     }
+}
 
-    /// Whether a response is being streamed and nothing of it has been written for [`WRITE_TIMEOUT`].
-    pub(super) fn has_expired(&self) -> bool {
-        self.is_streaming() && self.last_write.get().elapsed() >= WRITE_TIMEOUT
-    }
+/// The time for which nothing may be written to a socket although a response is being streamed. The operating system
+/// reports a socket as writable only once a good part of its send buffer is free, which takes a slow client long. After
+/// this time, even the slowest client would have emptied the buffer.
+fn write_timeout(send_buffer: u64) -> Duration {
+    Duration::from_secs_f64(send_buffer.max(MIN_SEND_BUFFER) as f64 / MIN_PEER_BYTES_PER_SECOND)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -52,6 +52,12 @@
     socket2::SockRef::from(stream).recv_buffer_size().map_or(0, |size| size as u64)
 }
 
+/// The size in bytes of a socket's send buffer, which bounds the bytes that have been written and not yet been taken by
+/// the other side; 0 if it is not known.
+pub fn send_buffer_size(stream: &TcpStream) -> u64 {
+    socket2::SockRef::from(stream).send_buffer_size().map_or(0, |size| size as u64)
+}
+
 /// Whether the other side has closed the connection or it has failed. Returns false while there are unread bytes before
 /// the end of the stream.
 pub fn has_ended(stream: &TcpStream) -> bool {
