Connections no longer keep the memory of the longest message that they have carried

A proxy of 32 MB whose 335 clients have each had a response of 60 kB, with 300 idle clients beside them, used 34.5 MB for itself alone. Cause: the sockets (frontend/client_socket.rs, upstream/connection.rs) offer hyper no vectored writes, so it copies what it writes into one buffer for each connection: up to 48 KiB of a streamed body, a buffered response whole. The buffer never shrinks, and is in no budget. Evidence: RssAnon with 300 clients, release build: after one response of 60 kB each 102 kB for each client before, 44 kB after; ruled out: hyper's read buffers and the pieces that pin them, which both versions have. Change: the sockets take several slices. Short ones are gathered in one buffer of the thread and leave in one call as before, with the same system call. Hyper then queues the body's own bytes and drops them once they are written. It also begins with a pipelined request only once the response before has been written, so the connection counts as busy from the moment at which the head was read (Frontend::begin).

--- a/crates/cli/tests/slow_readers.rs
+++ b/crates/cli/tests/slow_readers.rs
@@ -15,6 +15,8 @@
 const STEP: usize = 8 << 10;
 /// Number of responses of different lengths that are given at once.
 const RESPONSES: usize = 16;
+/// Length in bytes of the first of the responses to pipelined requests; each further one is a byte longer.
+const SECOND_RESPONSE: usize = 20;
 /// Time after which a response that its client does not read counts as too long for the buffers.
 const STUCK_TIME: Duration = Duration::from_millis(300);
 
@@ -26,6 +28,14 @@
     })
 }
 
+fn proxy_with_requested_lengths() -> (Backend, Discovery, Proxy) {
+    let backend = backend_with_requested_lengths();
+    let discovery = Discovery::new();
+    discovery.publish(&all_up(&[&backend]));
+    let proxy = Proxy::start_ready(&discovery, &setup_with_admin());
+    (backend, discovery, proxy)
+}
+
 /// Requests a response of this length, and reads nothing of it.
 fn request_unread(proxy: &Proxy, length: usize) -> Client {
     let mut client = proxy.client();
@@ -62,13 +72,7 @@
 /// idle once the HTTP server had taken them.
 #[test]
 fn response_that_is_not_yet_written_to_the_socket_outlasts_sigterm() {
-    let backend = backend_with_requested_lengths();
-    let (_discovery, mut proxy) = {
-        let discovery = Discovery::new();
-        discovery.publish(&all_up(&[&backend]));
-        let proxy = Proxy::start_ready(&discovery, &setup_with_admin());
-        (discovery, proxy)
-    };
+    let (_backend, _discovery, mut proxy) = proxy_with_requested_lengths();
     let longest = longest_taken_unread(&proxy);
     let lengths = (0..RESPONSES).map(|number| longest - number * STEP);
     let clients: Vec<(usize, Client)> =
@@ -84,3 +88,28 @@
     }
     assert!(proxy.wait().success());
 }
+
+/// Guards against a request that has been read, waits until the response before it has been written, and gets no response
+/// because its connection counts as idle.
+#[test]
+fn request_pipelined_behind_an_unwritten_response_is_answered_after_sigterm() {
+    let (_backend, _discovery, mut proxy) = proxy_with_requested_lengths();
+    let longest = longest_taken_unread(&proxy);
+    let lengths = (0..RESPONSES).map(|number| longest - number * STEP);
+    let mut clients: Vec<(usize, Client)> =
+        lengths.map(|length| (length, request_unread(&proxy, length))).collect();
+    thread::sleep(STUCK_TIME);
+    for (number, (_, client)) in clients.iter_mut().enumerate() {
+        client.send(&page(&(SECOND_RESPONSE + number).to_string()));
+    }
+    thread::sleep(STUCK_TIME);
+    proxy.terminate();
+    wait_for("the close of the listener", || TcpStream::connect(proxy.address).is_err());
+    for (number, (length, mut client)) in clients.into_iter().enumerate() {
+        let received = client.response().map(|response| response.body.len());
+        assert_eq!(received, Some(length));
+        let second = client.response().map(|response| response.body.len());
+        assert_eq!(second, Some(SECOND_RESPONSE + number), "after {length} bytes");
+    }
+    assert!(proxy.wait().success());
+}
--- a/crates/cli/tests/sockets/proxy.rs
+++ b/crates/cli/tests/sockets/proxy.rs
@@ -203,9 +203,19 @@
 
     /// The resident memory of the process, in KiB.
     pub fn resident_kib(&self) -> usize {
+        self.status_kib("VmRSS:")
+    }
+
+    /// The resident memory that the process has for itself alone, without files, in KiB.
+    pub fn anonymous_kib(&self) -> usize {
+        self.status_kib("RssAnon:")
+    }
+
+    /// A figure in `/proc/PID/status`, in KiB.
+    fn status_kib(&self, field: &str) -> usize {
         let path = format!("/proc/{}/status", self.child.id());
         let status = std::fs::read_to_string(path).expect("the process runs");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a line");
+        let line = status.lines().find_map(|line| line.strip_prefix(field)).expect("a line");
         line.trim().trim_end_matches(" kB").parse().expect("a number")
     }
 
--- a/crates/proxy/src/frontend/client.rs
+++ b/crates/proxy/src/frontend/client.rs
@@ -67,6 +67,8 @@
     pub(super) body_ended: Rc<Cell<bool>>,
     /// The clock of the latest request with a body.
     pub(super) upload_clock: RefCell<Option<Rc<UploadClock>>>,
+    /// Whether a request has been read that is not handled yet, because the response before it is still being written.
+    pub(super) next_request_waits: Cell<bool>,
     /// Whether the receive buffer was empty at the last read.
     pub(super) receive_buffer_empty: Cell<bool>,
     /// Detects that the client reads nothing of a streamed response.
@@ -105,6 +107,7 @@
             raw_head: RefCell::default(),
             body_ended: Rc::new(Cell::new(true)),
             upload_clock: RefCell::default(),
+            next_request_waits: Cell::new(false),
             receive_buffer_empty: Cell::new(false),
             write_watchdog: WriteWatchdog::new(now),
             close: Notify::new(),
--- a/crates/proxy/src/frontend/client_socket.rs
+++ b/crates/proxy/src/frontend/client_socket.rs
@@ -1,6 +1,6 @@
 //! The socket of a client connection, as hyper reads and writes it.
 
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -11,7 +11,7 @@
 
 use super::client::{Client, Stage};
 use super::{Frontend, MAX_HEAD_BYTES, REQUEST_TIMEOUT};
-use crate::socket::{half_close, poll_read, poll_write};
+use crate::socket::{half_close, poll_read, poll_write, poll_write_vectored};
 
 /// A client's socket. It records in the [`Client`] when a request head starts to arrive, the raw bytes of the head,
 /// when bytes were last read or written, and that the client has closed its sending side.
@@ -80,9 +80,23 @@
         Poll::Ready(Ok(written))
     }
 
+    fn poll_write_vectored(
+        self: Pin<&mut Self>, cx: &mut Context, slices: &[IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(poll_write_vectored(&self.client.stream, cx, slices))?;
+        self.client.write_watchdog.record_write();
+        Poll::Ready(Ok(written))
+    }
+
+    /// Hyper copies what it writes into a buffer of its own if this is false, and never shrinks that buffer.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     /// Hyper flushes the socket once it has written all bytes of its buffer.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
-        if self.client.write_watchdog.record_flush() {
+        let response_ended = self.client.write_watchdog.record_flush();
+        if response_ended && !self.client.next_request_waits.get() {
             self.frontend.set_stage(&self.client, Stage::Idle);
         }
         Poll::Ready(Ok(()))
--- a/crates/proxy/src/frontend/connection.rs
+++ b/crates/proxy/src/frontend/connection.rs
@@ -52,7 +52,8 @@
         let service = service_fn(|request| {
             let frontend = self.clone();
             let client = client.clone();
-            async move { frontend.handle(request, &client).await }
+            let received = frontend.begin(request, &client);
+            async move { frontend.handle(received, &client).await }
         });
         let socket = ClientSocket { client: client.clone(), frontend: self.clone() };
         let connection = http1::Builder::new()
--- a/crates/proxy/src/frontend/service.rs
+++ b/crates/proxy/src/frontend/service.rs
@@ -19,13 +19,21 @@
 const PLATFORM_READINESS_PATH: &str = "/up";
 
 impl Frontend {
-    /// Handles one request whose head hyper has read.
+    /// Records that hyper has just read the head of a request.
+    pub(super) fn begin(&self, request: Request<Incoming>, client: &Rc<Client>) -> ReceivedHead {
+        let received = ReceivedHead::new(request, client);
+        client.next_request_waits.set(true);
+        self.set_stage(client, Stage::InFlight);
+        received
+    }
+
+    /// Handles one request whose head hyper has read. Hyper begins with it once it has written the response before, if the
+    /// request was pipelined.
     pub(super) async fn handle(
-        self: &Rc<Self>, request: Request<Incoming>, client: &Rc<Client>,
+        self: &Rc<Self>, received: ReceivedHead, client: &Rc<Client>,
     ) -> Result<Response<MessageBody>, ClientDisconnected> {
-        let received = ReceivedHead::new(request, client);
+        client.next_request_waits.set(false);
         client.write_watchdog.stop();
-        self.set_stage(client, Stage::InFlight);
         let overloaded = self.connections.in_flight() > self.limits.max_in_flight();
         let mut response = if overloaded {
             self.reject_overloaded(&received)
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -1,6 +1,7 @@
 //! Operations on sockets by shared reference, for sockets that several parts of the proxy use at once.
 
-use std::io;
+use std::cell::RefCell;
+use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -19,6 +20,14 @@
 /// Errors of opening a connection whose cause is a lack of file descriptors, memory or ports on this machine.
 const LOCAL_ERRORS: [i32; 6] = [EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRINUSE, EADDRNOTAVAIL];
 
+/// Most bytes that are gathered from several slices for one write.
+const MAX_GATHERED_BYTES: usize = 16 << 10;
+
+thread_local! {
+    /// The buffer in which the slices of one write are gathered, shared by all sockets of a thread.
+    static GATHERED: RefCell<Vec<u8>> = const { RefCell::new(Vec::new()) };
+}
+
 /// The state of a socket's receive buffer.
 #[derive(PartialEq)]
 pub enum PeekResult {
@@ -90,6 +99,37 @@
     }
 }
 
+/// Polls a write of several slices to a socket by shared reference. The slices are gathered in a buffer of the thread, as
+/// far as it has room, so that a head and a short body leave in one segment; a long slice is written on its own.
+pub fn poll_write_vectored(
+    stream: &TcpStream, cx: &mut Context, slices: &[IoSlice],
+) -> Poll<io::Result<usize>> {
+    let mut slices = slices.iter().map(|slice| &**slice).filter(|slice| !slice.is_empty()).peekable();
+    let Some(first) = slices.next() else { return Poll::Ready(Ok(0)) };
+    if slices.peek().is_none() || first.len() >= MAX_GATHERED_BYTES {
+        return poll_write(stream, cx, first);
+    }
+    GATHERED.with_borrow_mut(|gathered| {
+        gathered.clear();
+        gathered.extend_from_slice(first);
+        for slice in slices {
+            let room = MAX_GATHERED_BYTES - gathered.len();
+            gathered.extend_from_slice(&slice[..slice.len().min(room)]);
+        }
+        poll_write(stream, cx, gathered)
+    })
+}
+
+/// The parts of `slices` that the first `written` bytes fill, in order.
+pub fn written_parts<'a>(slices: &'a [IoSlice], written: usize) -> impl Iterator<Item = &'a [u8]> {
+    let mut rest = written;
+    slices.iter().map_while(move |slice| {
+        let part = &slice[..slice.len().min(rest)];
+        rest -= part.len();
+        (!part.is_empty() || slice.is_empty()).then_some(part)
+    })
+}
+
 /// Whether the failed call only has to be repeated, once the socket is ready if it would have blocked.
 pub fn is_transient(error: &io::Error) -> bool {
     matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -1,7 +1,7 @@
 //! A connection to a backend, and its socket, which records all traffic.
 
 use std::cell::Cell;
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -15,7 +15,9 @@
 use super::request::MessageBody;
 use super::request_progress::RequestProgress;
 use crate::close_reason::BackendCloseReason;
-use crate::socket::{PeekResult, half_close, peek, poll_read, poll_write};
+use crate::socket::{
+    PeekResult, half_close, peek, poll_read, poll_write, poll_write_vectored, written_parts,
+};
 
 /// A connection to a backend; dropping it closes the socket.
 pub(super) struct Connection {
@@ -60,6 +62,21 @@
     pub(super) _permit: Rc<OwnedSemaphorePermit>,
 }
 
+impl TrackedSocket {
+    /// Checks whether the next bytes may be written.
+    fn check_write(&self) -> io::Result<()> {
+        if !self.progress.may_write() {
+            return Err(io::ErrorKind::PermissionDenied.into());
+        }
+        // Fail before the first byte is written if bytes or the end of the stream have already arrived: the bytes can't
+        // be the response to this request, and the backend did not close the connection because of this request.
+        if !self.progress.has_started() && peek(&self.stream) != PeekResult::Nothing {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(())
+    }
+}
+
 impl AsyncRead for TrackedSocket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
@@ -71,14 +88,7 @@
 
 impl AsyncWrite for TrackedSocket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        if !self.progress.may_write() {
-            return Poll::Ready(Err(io::ErrorKind::PermissionDenied.into()));
-        }
-        // Fail before the first byte is written if bytes or the end of the stream have already arrived: the bytes can't
-        // be the response to this request, and the backend did not close the connection because of this request.
-        if !self.progress.has_started() && peek(&self.stream) != PeekResult::Nothing {
-            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
-        }
+        self.check_write()?;
         let written = poll_write(&self.stream, cx, bytes);
         if written.is_pending() {
             self.progress.write.record_blocked();
@@ -88,6 +98,26 @@
         Poll::Ready(Ok(written))
     }
 
+    fn poll_write_vectored(
+        self: Pin<&mut Self>, cx: &mut Context, slices: &[IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        self.check_write()?;
+        let written = poll_write_vectored(&self.stream, cx, slices);
+        if written.is_pending() {
+            self.progress.write.record_blocked();
+        }
+        let written = ready!(written)?;
+        for part in written_parts(slices, written) {
+            self.progress.record_written(part);
+        }
+        Poll::Ready(Ok(written))
+    }
+
+    /// Hyper copies what it writes into a buffer of its own if this is false, and never shrinks that buffer.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
