Each client that may send a request finds a socket for a backend

Cause: frontend/socket_limits.rs gave backends a fixed quarter of the sockets, less than the third from which clients may send. Evidence: 596 attempts without a socket for 353 rejected calls, 248 connections to backends beside 336 clients; ruled out: shedding by the balancer (all 353 rejections were too_late) and rejections by backends (no attempt of that outcome). Change: sockets.rs owns the count of both sides. Backends take what clients leave beyond the reserved quarter, up to half of the sockets; attempts that wait count when clients are limited, so connections without a request give way. During an upgrade at least a third of all descriptors may have requests in flight. Why this works: with a third of the descriptors for clients and as many for backends a third is still free.

--- a/crates/proxy/src/frontend/connection_table.rs
+++ b/crates/proxy/src/frontend/connection_table.rs
@@ -25,8 +25,6 @@
 /// All client connections by stage.
 #[derive(Default)]
 pub(super) struct ConnectionTable {
-    /// Number of all open connections.
-    open: Cell<usize>,
     /// Number of connections in the stage [`Stage::InFlight`].
     in_flight: Cell<usize>,
     /// The connections in the other stages, all of which may be evicted. `Stage as usize` is the index.
@@ -47,19 +45,12 @@
 impl ConnectionTable {
     /// Adds a connection, which counts as in flight until it enters another stage.
     pub(super) fn add(&self) {
-        self.open.set(self.open.get() + 1);
         self.in_flight.set(self.in_flight.get() + 1);
     }
 
     /// Removes a connection that is in flight.
     pub(super) fn remove(&self) {
         self.in_flight.set(self.in_flight.get() - 1);
-        self.open.set(self.open.get() - 1);
-    }
-
-    /// The number of open connections.
-    pub(super) fn open(&self) -> usize {
-        self.open.get()
     }
 
     /// The number of connections with a request in flight.
--- a/crates/proxy/src/frontend/listener.rs
+++ b/crates/proxy/src/frontend/listener.rs
@@ -39,13 +39,13 @@
     /// Accepts one connection and serves it in a separate task. At the limit on connections, evicts or rejects one
     /// instead.
     pub(super) async fn accept(self: Rc<Self>, listener: &TcpListener) {
-        let limit = self.limits.max_client_sockets(self.upstreams.sockets_in_use());
-        if self.connections.open() >= limit {
+        let limit = self.sockets.max_clients();
+        if self.sockets.clients() >= limit {
             return self.accept_at_limit(listener).await;
         }
         match self.next_connection(listener).await {
             Ok((stream, address)) => {
-                if self.connections.open() >= limit * EVICTION_NUMERATOR / EVICTION_DENOMINATOR {
+                if self.sockets.clients() >= limit * EVICTION_NUMERATOR / EVICTION_DENOMINATOR {
                     self.connections.evict_one(EvictionPolicy::SpareRecent);
                 }
                 self.spawn_connection(stream, address);
@@ -103,6 +103,7 @@
     fn spawn_connection(self: Rc<Self>, stream: TcpStream, address: SocketAddr) {
         let _ = stream.set_nodelay(true); // on failure, small responses are only slower
         let client = Rc::new(Client::new(stream, address.ip(), self.accept_queue_empty_at.get()));
+        let socket = self.sockets.add_client();
         self.connections.add();
         self.set_stage(&client, Stage::New);
         tokio::task::spawn_local(async move {
@@ -111,6 +112,7 @@
             self.record_closed(&client);
             self.set_stage(&client, Stage::InFlight);
             self.connections.remove();
+            drop((client, socket));
             self.connections_changed.notify_waiters();
         });
     }
--- a/crates/proxy/src/frontend/mod.rs
+++ b/crates/proxy/src/frontend/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! Modules in the order in which a request passes through them:
 //!
-//! 1. `listener` accepts the connection within the `socket_limits` and adds it to the `connection_table`. The table
+//! 1. `listener` accepts the connection within the limits on sockets and adds it to the `connection_table`. The table
 //!    selects the connections to evict when sockets run short and to close when their timeouts have passed.
 //! 2. `connection` serves the connection: hyper reads and writes its `client_socket`, and `client` holds its state. The
 //!    `write_watchdog` detects a client that reads nothing of its streamed response.
@@ -36,7 +36,6 @@
 mod response;
 mod service;
 mod shutdown;
-mod socket_limits;
 mod streamed_responses;
 mod write_watchdog;
 
@@ -50,14 +49,15 @@
 use tokio::time::{Instant, sleep};
 
 pub use listener::listen;
-pub use socket_limits::SocketLimits;
 
 use crate::access_record::AccessSampler;
 use crate::classes::Classes;
 use crate::close_reason::ClientCloseReason;
+use crate::handover::Handover;
 use crate::inbox::Inbox;
 use crate::metrics::Metrics;
 use crate::open_ids::OpenRequestIds;
+use crate::sockets::Sockets;
 use crate::upstream::UpstreamPool;
 use client::{Client, Stage};
 use connection_table::{ConnectionTable, MIN_IDLE_TIME};
@@ -81,10 +81,12 @@
     pub inbox: Inbox,
     /// The configured request classes.
     pub classes: Rc<RefCell<Classes>>,
-    /// The upstream pool, for the socket count and the memory budgets that the client side and the upstream side share.
+    /// The upstream pool, for the memory budgets that the client side and the upstream side share.
     pub upstreams: Rc<UpstreamPool>,
-    /// The limits on sockets.
-    pub limits: SocketLimits,
+    /// The sockets of both sides.
+    pub sockets: Rc<Sockets>,
+    /// The handover state; `None` if handover is not configured.
+    pub handover: Option<Rc<Handover>>,
     /// The metrics that count requests and connections.
     pub metrics: Arc<Metrics>,
     /// Whether an operator has taken the proxy out of service.
@@ -98,7 +100,8 @@
     inbox: Inbox,
     classes: Rc<RefCell<Classes>>,
     upstreams: Rc<UpstreamPool>,
-    limits: SocketLimits,
+    sockets: Rc<Sockets>,
+    handover: Option<Rc<Handover>>,
     metrics: Arc<Metrics>,
     access_sampler: AccessSampler,
     next_number: Cell<u64>,
@@ -122,7 +125,8 @@
             inbox: parts.inbox,
             classes: parts.classes,
             upstreams: parts.upstreams,
-            limits: parts.limits,
+            sockets: parts.sockets,
+            handover: parts.handover,
             metrics: parts.metrics,
             access_sampler: AccessSampler::new(parts.access_rate),
             next_number: Cell::new(0),
@@ -159,7 +163,7 @@
 
     /// Updates the connection metrics and requests the close of all connections whose timeout has passed.
     fn close_expired(&self) {
-        self.metrics.set_open_connections(self.connections.open(), self.upstreams.sockets_in_use());
+        self.metrics.set_open_connections(self.sockets.clients(), self.sockets.backends());
         let now = Instant::now();
         self.connections.close_overdue(now);
         if self.is_draining() {
--- a/crates/proxy/src/frontend/shutdown.rs
+++ b/crates/proxy/src/frontend/shutdown.rs
@@ -58,7 +58,7 @@
 
     /// Announces the stop to the other processes of this proxy. Returns whether a successor serves clients already.
     fn announce_stop(&self) -> bool {
-        self.limits.handover.as_ref().is_some_and(|handover| handover.announce_stop())
+        self.handover.as_ref().is_some_and(|handover| handover.announce_stop())
     }
 
     /// Stops accepting, because the successor accepts new connections. The open connections close with their next
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -29,6 +29,7 @@
 mod rejection;
 mod server;
 mod socket;
+mod sockets;
 mod upload_clock;
 mod upstream;
 
--- a/crates/proxy/src/server/run.rs
+++ b/crates/proxy/src/server/run.rs
@@ -21,20 +21,17 @@
 use crate::discovery::{self, DiscoveryCalls};
 use crate::driver::{Driver, DriverParts};
 use crate::error::{DriverEnd, Error};
-use crate::frontend::{Frontend, FrontendParts, SocketLimits};
-use crate::handover::{Handover, SharedState};
+use crate::frontend::{Frontend, FrontendParts};
+use crate::handover::SharedState;
 use crate::inbox::{Inbox, Input};
 use crate::listed_endpoint::ListedEndpoint;
 use crate::metrics::Metrics;
+use crate::sockets::{SocketLimits, Sockets};
 use crate::upstream::UpstreamPool;
 
 /// Denominator of the fraction of the configured memory that bodies get which are read ahead. Two processes share the
 /// memory during an upgrade.
 const READ_AHEAD_MEMORY_DIVISOR: usize = 12;
-/// File descriptors reserved for uses other than client and upstream connections: standard streams, runtime, signals,
-/// listener, gossip and discovery.
-const RESERVED_DESCRIPTORS: usize = 32;
-
 /// The addresses on which a proxy listens.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
@@ -114,8 +111,8 @@
     if let Some(peers) = &peers {
         spawn_local(peers.clone().listen(shared.inbox.clone()));
     }
-    let limits = socket_limits(config.max_sockets, handover.clone());
-    let upstreams = Rc::new(new_upstreams(&config, limits.max_backend_sockets(), &shared.metrics));
+    let sockets = Sockets::new(SocketLimits::new(config.max_sockets), handover.clone());
+    let upstreams = Rc::new(new_upstreams(&config, &shared.metrics, sockets.clone()));
     let parts = DriverParts {
         commands,
         classes: shared.classes.clone(),
@@ -125,7 +122,7 @@
         discovery: discovery_address.map(DiscoveryCalls::new),
         metrics: shared.metrics.clone(),
         drained: shared.drained.clone(),
-        handover,
+        handover: handover.clone(),
     };
     let addresses = Addresses { clients, admin };
     log_start(&config, &addresses);
@@ -139,8 +136,8 @@
     }
     let driver = spawn_local(driver.run(inputs));
     let Shared { inbox, classes, metrics, access_rate, drained } = shared;
-    let frontend =
-        Frontend::new(FrontendParts { inbox, classes, upstreams, limits, metrics, drained, access_rate });
+    let parts = FrontendParts { inbox, classes, upstreams, sockets, handover, metrics, drained, access_rate };
+    let frontend = Frontend::new(parts);
     ready(addresses);
     // Without its driver the proxy could only fail every request, so it ends and can be restarted.
     tokio::select! {
@@ -170,20 +167,10 @@
     Ok(Some(address))
 }
 
-/// Returns the limits on client and upstream sockets. While two processes of this proxy overlap, each may use half of
-/// the sockets.
-fn socket_limits(max_sockets: usize, handover: Option<Rc<Handover>>) -> SocketLimits {
-    SocketLimits {
-        without_overlap: max_sockets.saturating_sub(RESERVED_DESCRIPTORS).max(RESERVED_DESCRIPTORS),
-        with_overlap: (max_sockets / 2).saturating_sub(RESERVED_DESCRIPTORS).max(RESERVED_DESCRIPTORS / 2),
-        handover,
-    }
-}
-
-fn new_upstreams(config: &Config, max_connections: usize, metrics: &Arc<Metrics>) -> UpstreamPool {
+fn new_upstreams(config: &Config, metrics: &Arc<Metrics>, sockets: Rc<Sockets>) -> UpstreamPool {
     let read_ahead_memory = MemoryBudget::new(config.max_memory / READ_AHEAD_MEMORY_DIVISOR);
     let is_plain = matches!(config.client_protocol, ClientProtocol::Plain(_));
-    UpstreamPool::new(&config.connections, max_connections, is_plain, metrics.clone(), read_ahead_memory)
+    UpstreamPool::new(&config.connections, sockets, is_plain, metrics.clone(), read_ahead_memory)
 }
 
 fn log_start(config: &Config, addresses: &Addresses) {
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -9,7 +9,6 @@
 use hyper::client::conn::http1::SendRequest;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::JoinHandle;
 
 use super::request::MessageBody;
@@ -18,6 +17,7 @@
 use crate::socket::{
     PeekResult, half_close, peek, poll_read, poll_write, poll_write_vectored, written_parts,
 };
+use crate::sockets::SocketPermit;
 
 /// A connection to a backend; dropping it closes the socket.
 pub(super) struct Connection {
@@ -27,8 +27,8 @@
     pub(super) progress: Rc<RequestProgress>,
     /// The socket, for checks that bypass hyper.
     pub(super) stream: Rc<TcpStream>,
-    /// The socket's permit from the budget, shared with `TrackedSocket`: released when both are dropped.
-    pub(super) _permit: Rc<OwnedSemaphorePermit>,
+    /// The socket's permit, shared with `TrackedSocket`: released when both are dropped.
+    pub(super) _permit: Rc<SocketPermit>,
     /// The task in which hyper reads and writes the socket.
     pub(super) task: JoinHandle<()>,
     /// Whether no request has completed on this connection yet.
@@ -58,8 +58,8 @@
     pub(super) stream: Rc<TcpStream>,
     /// The progress, shared with the `Connection`.
     pub(super) progress: Rc<RequestProgress>,
-    /// The socket's permit from the budget, shared with the `Connection`.
-    pub(super) _permit: Rc<OwnedSemaphorePermit>,
+    /// The socket's permit, shared with the `Connection`.
+    pub(super) _permit: Rc<SocketPermit>,
 }
 
 impl TrackedSocket {
--- a/crates/proxy/src/upstream/dial.rs
+++ b/crates/proxy/src/upstream/dial.rs
@@ -10,7 +10,6 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::error::Elapsed;
 use tokio::time::{Instant, sleep};
 
@@ -18,6 +17,7 @@
 use super::request_progress::RequestProgress;
 use crate::metrics::Metrics;
 use crate::socket::{is_local_error, is_no_route};
+use crate::sockets::SocketPermit;
 
 /// How long to retry after a transient error. Errors of this machine are expected to pass within this time.
 const TRANSIENT_RETRY_TIME: Duration = Duration::from_millis(100);
@@ -41,7 +41,7 @@
     /// connect failure, since the backend can't be reached.
     #[error("no route: {0}")]
     NoRoute(io::Error),
-    /// All sockets of the budget are in use.
+    /// All sockets for backends are in use.
     #[error("all upstream sockets are in use")]
     NoSocket,
     /// The backend or the network refused or broke the connection.
@@ -77,9 +77,9 @@
     }
 }
 
-/// Opens a connection with a permit of the socket budget. Transient errors are retried for `TRANSIENT_RETRY_TIME`.
+/// Opens a connection with the permit for its socket. Transient errors are retried for `TRANSIENT_RETRY_TIME`.
 pub(super) async fn dial(
-    address: SocketAddr, permit: OwnedSemaphorePermit, metrics: Arc<Metrics>,
+    address: SocketAddr, permit: SocketPermit, metrics: Arc<Metrics>,
 ) -> Result<Connection, ConnectError> {
     let permit = Rc::new(permit);
     metrics.upstream_connected();
@@ -96,7 +96,7 @@
 }
 
 async fn dial_once(
-    address: SocketAddr, permit: &Rc<OwnedSemaphorePermit>, metrics: &Arc<Metrics>,
+    address: SocketAddr, permit: &Rc<SocketPermit>, metrics: &Arc<Metrics>,
 ) -> Result<Connection, ConnectError> {
     let stream = Rc::new(TcpStream::connect(address).await?);
     stream.set_nodelay(true)?;
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -6,7 +6,7 @@
 //! The steps of one attempt, from the driver's call to the report of its outcome:
 //!
 //! 1. `attempt` gets a connection to the `endpoint` from the `pool`: an idle one, or a new one that `dial` opens once
-//!    the `socket_budget` has a free socket. `keep_alive` determines how long connections may be idle.
+//!    a socket is free. `keep_alive` determines how long connections may be idle.
 //! 2. `attempt_request` prepares the `request` for this attempt, and `request_progress` is reset with a new `guard`,
 //!    which the connection checks just before it writes the first byte.
 //! 3. `exchange` sends the request and reads as much of the response as is buffered. `request_progress` and
@@ -38,7 +38,6 @@
 mod response;
 mod response_deadline;
 mod response_progress;
-mod socket_budget;
 mod write_progress;
 
 pub use attempt::AttemptLimits;
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -1,4 +1,4 @@
-//! The connection pool of all upstream endpoints, which stays within the socket budget.
+//! The connection pool of all upstream endpoints, which stays within the limits on sockets.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -13,10 +13,10 @@
 use super::dial::{ConnectError, dial};
 use super::endpoint::UpstreamEndpoint;
 use super::keep_alive::{KeepAlive, MIN_KEEP_ALIVE};
-use super::socket_budget::SocketBudget;
 use crate::body_memory::MemoryBudget;
 use crate::close_reason::BackendCloseReason;
 use crate::metrics::Metrics;
+use crate::sockets::Sockets;
 
 /// An idle connection is closed after this fraction of the backend's own idle timeout, before the backend closes it.
 const KEEP_ALIVE_FRACTION: f64 = 0.7;
@@ -29,7 +29,7 @@
 /// Upper bound of a timeout from the settings, in milliseconds.
 const MAX_TIMEOUT_MS: f64 = 3.6e6;
 
-/// State that all attempts share: the connection pool, the timeouts and the socket budget.
+/// State that all attempts share: the connection pool, the timeouts and the sockets.
 pub struct UpstreamPool {
     /// The memory budget for the part of each request body that is read before the request is submitted.
     pub read_ahead_memory: MemoryBudget,
@@ -39,7 +39,7 @@
     metrics: Arc<Metrics>,
     connect_timeout: Cell<Duration>,
     keep_alive: KeepAlive,
-    sockets: SocketBudget,
+    sockets: Rc<Sockets>,
     /// The endpoints whose idle connections this pool closes.
     endpoints: RefCell<Vec<Rc<UpstreamEndpoint>>>,
     /// When the endpoint list expires: no request may start from then on.
@@ -47,9 +47,9 @@
 }
 
 impl UpstreamPool {
-    /// Creates an empty pool with a budget of `max_sockets`.
+    /// Creates an empty pool.
     pub fn new(
-        connections: &ConnectionTimeouts, max_sockets: usize, is_plain_http: bool, metrics: Arc<Metrics>,
+        connections: &ConnectionTimeouts, sockets: Rc<Sockets>, is_plain_http: bool, metrics: Arc<Metrics>,
         read_ahead_memory: MemoryBudget,
     ) -> Self {
         UpstreamPool {
@@ -58,7 +58,7 @@
             metrics,
             connect_timeout: Cell::new(connect_timeout(connections)),
             keep_alive: KeepAlive::new(max_keep_alive(connections)),
-            sockets: SocketBudget::new(max_sockets),
+            sockets,
             endpoints: RefCell::default(),
             list_valid_until: Rc::new(Cell::new(Instant::now())),
         }
@@ -80,11 +80,6 @@
         self.keep_alive.set_max(max_keep_alive(connections));
     }
 
-    /// The number of sockets in use.
-    pub fn sockets_in_use(&self) -> usize {
-        self.sockets.in_use()
-    }
-
     /// Adds an endpoint, so that its idle connections are closed when they expire.
     pub fn add_endpoint(&self, endpoint: &Rc<UpstreamEndpoint>) {
         self.endpoints.borrow_mut().push(endpoint.clone());
@@ -148,15 +143,15 @@
         None
     }
 
-    /// Opens a connection once the budget has a free socket. If all sockets are in use, the longest idle connection is
+    /// Opens a connection once a socket is free. If all sockets are in use, the longest idle connection is
     /// closed first.
     async fn open_connection(&self, endpoint: &UpstreamEndpoint) -> Result<Connection, ConnectError> {
         if self.sockets.is_exhausted() {
             self.evict_longest_idle();
         }
         let connect_timeout = self.connect_timeout.get();
-        let permit = timeout(connect_timeout, self.sockets.acquire()).await;
-        let permit = permit.map_err(|_| ConnectError::NoSocket)??;
+        let permit = timeout(connect_timeout, self.sockets.acquire_backend()).await;
+        let permit = permit.map_err(|_| ConnectError::NoSocket)?;
         timeout(connect_timeout, dial(endpoint.address, permit, self.metrics.clone())).await?
     }
 
@@ -193,6 +188,12 @@
         self.keep_alive.timeout()
     }
 
+    /// The number of connections to backends.
+    #[cfg(test)]
+    pub(super) fn sockets_in_use(&self) -> usize {
+        self.sockets.backends()
+    }
+
     /// Whether an attempt waits for a socket.
     #[cfg(test)]
     pub(super) fn has_waiters(&self) -> bool {
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -19,6 +19,7 @@
 use super::request_framing::HEAD_END;
 use super::*;
 use crate::body_memory::MemoryBudget;
+use crate::sockets::{SocketLimits, Sockets};
 
 mod units;
 
@@ -54,6 +55,13 @@
 fn new_pool(sockets: usize) -> Rc<UpstreamPool> {
     let connections = ConnectionTimeouts { connect_timeout: 600_000.0, backend_idle_timeout: 600_000.0 };
     let memory = MemoryBudget::new(1 << 20);
+    let limits = SocketLimits {
+        without_overlap: 4 * sockets,
+        with_overlap: 4 * sockets,
+        max_backends: sockets,
+        sending_clients: sockets,
+    };
+    let sockets = Sockets::new(limits, None);
     let pool = UpstreamPool::new(&connections, sockets, false, Arc::default(), memory);
     pool.set_list_valid_until(list_valid_until().get());
     Rc::new(pool)
