--- a/crates/proxy/src/body_stream.rs
+++ b/crates/proxy/src/body_stream.rs
@@ -2,6 +2,10 @@
 //!
 //! Each stream has a window of its own: so many bytes may have been read from the one peer and not yet been taken by the
 //! other. A slow peer uses up the window of its own stream, and holds back no other stream.
+//!
+//! A chunk is a part of the buffer into which it was read, and keeps all of that buffer alive. So a long chunk counts as
+//! a whole buffer, and a short one is copied. A sender reserves the room for a buffer before it asks for the next chunk,
+//! so that no chunk waits outside of the window.
 
 use std::pin::Pin;
 use std::sync::Arc;
@@ -9,9 +13,9 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
-use crate::body_memory::reserved_bytes;
+use crate::memory::{BodyBuffer, BufferSizes, reserved_bytes};
 
 /// Longest request or response body that is forwarded, in bytes.
 pub const MAX_BODY_BYTES: u64 = 36 << 20;
@@ -20,11 +24,6 @@
 /// sustain.
 pub const MIN_PEER_BYTES_PER_SECOND: f64 = 32.0 * 1024.0;
 
-/// Bytes of one stream that may be in this process at once.
-pub const STREAM_WINDOW_BYTES: usize = 16 << 10;
-/// Longest chunk of a streamed body, in bytes: while the reader takes one chunk, the next one can be received.
-const MAX_CHUNK_BYTES: usize = STREAM_WINDOW_BYTES / 2;
-
 /// A chunk of a streamed body. If the channel closes without an `End`, the body is incomplete.
 enum BodyChunk {
     /// Bytes of the body.
@@ -41,28 +40,60 @@
 /// The sending end of a [`BodyStream`].
 pub struct BodySender {
     chunks: mpsc::Sender<BodyChunk>,
-    /// A permit for each byte that may still be sent before the reader has taken more.
+    /// A permit for each byte of the window that is not in use.
     window: Arc<Semaphore>,
+    buffers: BufferSizes,
 }
 
+/// Room for one chunk in the window of a stream.
+pub struct ChunkRoom(OwnedSemaphorePermit);
+
 impl BodySender {
-    /// Sends a part of the body by copy, so that the buffer that `data` was read into is free again. Waits while the
-    /// window is used up.
-    pub async fn send(&self, data: &[u8]) -> Result<(), ReaderStopped> {
-        for chunk in data.chunks(MAX_CHUNK_BYTES) {
-            let permits = self.window.clone().acquire_many_owned(chunk.len() as u32).await;
-            let reservation = permits.map_err(|_| ReaderStopped)?;
-            let bytes = reserved_bytes(Box::<[u8]>::from(chunk), reservation);
-            self.send_reserved(bytes).await?;
+    /// Waits until there is room for one chunk as long as a read buffer.
+    pub async fn room(&self) -> Result<ChunkRoom, ReaderStopped> {
+        tokio::select! {
+            biased;
+            room = self.acquire(self.buffers.read_buffer()) => room.map(ChunkRoom),
+            () = self.chunks.closed() => Err(ReaderStopped),
+        }
+    }
+
+    /// Sends a part of the body that is no longer than a read buffer.
+    pub async fn send(&self, data: Bytes, room: ChunkRoom) -> Result<(), ReaderStopped> {
+        let ChunkRoom(mut room) = room;
+        if data.is_empty() {
+            return Ok(());
+        }
+        if data.len() >= self.buffers.read_buffer() / 2 {
+            return self.send_data(reserved_bytes(data, room)).await;
         }
-        Ok(())
+        let Some(used) = room.split(data.len()) else { return Ok(()) };
+        drop(room);
+        self.send_data(reserved_bytes(Box::<[u8]>::from(&*data), used)).await
     }
 
-    /// Sends bytes that hold their own reservation, outside of the window.
-    pub async fn send_reserved(&self, data: Bytes) -> Result<(), ReaderStopped> {
+    /// Sends a part of the body that was buffered before: outside of the window if it has a reservation of its own.
+    /// Without one it takes up the window as far as it can.
+    pub async fn send_buffer(&self, buffer: BodyBuffer) -> Result<(), ReaderStopped> {
+        if buffer.bytes.is_empty() {
+            return Ok(());
+        }
+        if buffer.reservation.is_some() {
+            return self.send_data(buffer.into_bytes()).await;
+        }
+        let room = self.acquire(buffer.bytes.len().min(self.buffers.stream_window())).await?;
+        self.send_data(reserved_bytes(buffer.bytes, room)).await
+    }
+
+    async fn send_data(&self, data: Bytes) -> Result<(), ReaderStopped> {
         self.chunks.send(BodyChunk::Data(data)).await.map_err(|_| ReaderStopped)
     }
 
+    async fn acquire(&self, bytes: usize) -> Result<OwnedSemaphorePermit, ReaderStopped> {
+        let permits = bytes as u32; // never truncates: the window is far smaller than u32::MAX
+        self.window.clone().acquire_many_owned(permits).await.map_err(|_| ReaderStopped)
+    }
+
     /// Ends a complete body.
     pub async fn end(&self) {
         let _ = self.chunks.send(BodyChunk::End).await; // fails if a reader that knows the length has stopped
@@ -87,10 +118,12 @@
 pub struct IncompleteBody;
 
 impl BodyStream {
-    /// Creates a stream and its sending end. `length` is the length of the complete body, if it is known.
-    pub fn new(length: Option<u64>) -> (BodySender, Self) {
+    /// Creates a stream and its sending end. `length` is the length of the complete body, if it is known; the window
+    /// fits these buffers.
+    pub fn new(length: Option<u64>, buffers: BufferSizes) -> (BodySender, Self) {
         let (sender, chunks) = mpsc::channel(1);
-        let sender = BodySender { chunks: sender, window: Arc::new(Semaphore::new(STREAM_WINDOW_BYTES)) };
+        let window = Arc::new(Semaphore::new(buffers.stream_window()));
+        let sender = BodySender { chunks: sender, window, buffers };
         let stream = BodyStream { chunks, remaining: length, on_end: None };
         (sender, stream)
     }
--- a/crates/proxy/src/body_upload.rs
+++ b/crates/proxy/src/body_upload.rs
@@ -10,8 +10,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
-use crate::body_memory::{MemoryReservation, reserved_bytes};
-use crate::body_stream::{BodySender, MAX_BODY_BYTES, MIN_PEER_BYTES_PER_SECOND};
+use crate::body_stream::{BodySender, MAX_BODY_BYTES, MIN_PEER_BYTES_PER_SECOND, ReaderStopped};
+use crate::memory::BodyBuffer;
 use crate::socket::receive_buffer_size;
 use crate::upload_clock::UploadClock;
 
@@ -126,9 +126,7 @@
 /// A body of which only a part has been received.
 pub struct PartialBody {
     /// The part that has been received.
-    pub received: Bytes,
-    /// The memory reserved for that part, if any.
-    pub memory: Option<MemoryReservation>,
+    pub received: BodyBuffer,
     /// The receiver of the rest.
     pub rest: BodyReceiver,
 }
@@ -136,7 +134,7 @@
 impl PartialBody {
     /// The length of the complete body in bytes, if it is known.
     pub fn length(&self) -> Option<u64> {
-        self.rest.bytes_remaining().map(|remaining| self.received.len() as u64 + remaining)
+        self.rest.bytes_remaining().map(|remaining| self.received.bytes.len() as u64 + remaining)
     }
 }
 
@@ -144,22 +142,25 @@
 /// been forwarded or the reader has dropped the stream, or with an error if the client sends the body too slowly or
 /// malformed.
 pub async fn forward_body(body: PartialBody, sender: BodySender) -> Result<(), BodyError> {
-    let PartialBody { received, memory, mut rest } = body;
-    let sent = match memory {
-        Some(reservation) => sender.send_reserved(reserved_bytes(received, reservation)).await,
-        None => sender.send(&received).await,
-    };
-    if sent.is_err() {
-        return Ok(());
+    let PartialBody { received, rest } = body;
+    match sender.send_buffer(received).await {
+        Ok(()) => forward_rest(rest, &sender).await,
+        Err(ReaderStopped) => Ok(()),
     }
-    while let Some(data) = rest.next().await? {
+}
+
+async fn forward_rest(mut rest: BodyReceiver, sender: &BodySender) -> Result<(), BodyError> {
+    while let Ok(room) = sender.room().await {
+        let Some(data) = rest.next().await? else {
+            sender.end().await;
+            return Ok(());
+        };
         if rest.bytes_received() as u64 > MAX_BODY_BYTES {
             return Err(BodyError::Malformed);
         }
-        if sender.send(&data).await.is_err() {
-            return Ok(());
+        if sender.send(data, room).await.is_err() {
+            break;
         }
     }
-    sender.end().await;
     Ok(())
 }
--- a/crates/proxy/src/close_reason.rs
+++ b/crates/proxy/src/close_reason.rs
@@ -23,11 +23,13 @@
     CloseTimeout,
     /// The client sent bytes that are not valid HTTP.
     Malformed,
+    /// The limit on connections with buffers was reached when the first bytes arrived, and no other one could be evicted.
+    NoMemory,
 }
 
 impl ClientCloseReason {
     /// All reasons.
-    pub const ALL: [ClientCloseReason; 10] = [
+    pub const ALL: [ClientCloseReason; 11] = [
         ClientCloseReason::ByClient,
         ClientCloseReason::WithResponse,
         ClientCloseReason::Evicted,
@@ -38,6 +40,7 @@
         ClientCloseReason::WriteTimeout,
         ClientCloseReason::CloseTimeout,
         ClientCloseReason::Malformed,
+        ClientCloseReason::NoMemory,
     ];
 
     /// The name of the reason in metrics and logs.
@@ -53,6 +56,7 @@
             ClientCloseReason::WriteTimeout => "write_timeout",
             ClientCloseReason::CloseTimeout => "close_timeout",
             ClientCloseReason::Malformed => "malformed",
+            ClientCloseReason::NoMemory => "no_memory",
         }
     }
 }
--- a/crates/proxy/src/config/file/schema.rs
+++ b/crates/proxy/src/config/file/schema.rs
@@ -205,7 +205,7 @@
     /// Number of file descriptors that the proxy may use, for clients and backends together.
     #[schemars(range(min = 64, max = 1000000))]
     pub descriptors: usize,
-    /// Memory that the process may use; at most a sixth of it holds request and response bodies in transit.
+    /// Memory that the process may use; `docs/memory.md` says how it is divided.
     pub memory: Size,
     /// Maximum number of attempts per request.
     #[schemars(range(min = 1, max = 100))]
--- a/crates/proxy/src/frontend/admission.rs
+++ b/crates/proxy/src/frontend/admission.rs
@@ -6,7 +6,6 @@
 use hyper::http::request;
 
 use super::Frontend;
-use super::raw_head::has_no_content_length;
 use super::received::ReceivedHead;
 use crate::body_stream::MAX_BODY_BYTES;
 use crate::head::{self, RequestMeta};
@@ -31,7 +30,7 @@
         // If a request has both Transfer-Encoding and Content-Length, hyper's parsed headers contain only one of the
         // two. Such a request may be request smuggling: one of the two lengths is wrong or hides a second request.
         let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
-        if is_chunked && !raw_head.is_some_and(|raw_head| has_no_content_length(&raw_head, &head.headers)) {
+        if is_chunked && !raw_head.is_some_and(|raw_head| raw_head.has_no_content_length(&head.headers)) {
             return Err(Rejection::AmbiguousLength);
         }
         if body.size_hint().lower() > MAX_BODY_BYTES {
--- a/crates/proxy/src/frontend/body.rs
+++ b/crates/proxy/src/frontend/body.rs
@@ -4,29 +4,23 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use hyper::body::Incoming;
 use leadrelay_core::RequestId;
 use tokio::time::Instant;
 
 use super::Frontend;
 use super::client::Client;
-use crate::body_memory::MemoryReservation;
+use super::read_ahead::ReadAheadBuffer;
 use crate::body_stream::BodyStream;
 use crate::body_upload::{BodyError, BodyReceiver, PartialBody, forward_body};
 use crate::inbox::Input;
 use crate::upload_clock::UploadClock;
 use crate::upstream::{RequestBody, Upload};
 
-/// Bytes of a body that are received before the request is submitted, if the memory budget allows it. A slow client
-/// occupies no backend during that time, and a body that is complete by then can be resent in a retry.
-const MAX_READ_AHEAD_BYTES: usize = 128 << 10;
-/// Bytes of a body that every connection may buffer without reserving memory from the budget.
-const SMALL_BODY_BYTES: usize = 16 << 10;
-
 /// The part of a body that has been received when its request is submitted.
 enum ReadAhead {
-    Complete { bytes: Bytes, memory: Option<MemoryReservation> },
+    Complete(Bytes),
     Partial(PartialBody),
 }
 
@@ -54,13 +48,13 @@
             client.stream.clone(),
         );
         let partial = match self.read_ahead(receiver).await? {
-            ReadAhead::Complete { bytes, memory } => {
-                let body = RequestBody::Buffered { bytes, _memory: memory };
+            ReadAhead::Complete(bytes) => {
+                let body = RequestBody::Buffered(bytes.into());
                 return Ok(ReceivedBody { body, upload: None });
             }
             ReadAhead::Partial(partial) => partial,
         };
-        let (sender, stream) = BodyStream::new(partial.length());
+        let (sender, stream) = BodyStream::new(partial.length(), client.buffers.get());
         let upload = forward_body(partial, sender);
         let body = RequestBody::Streamed(self.upload(stream, id, clock, client_timeout));
         Ok(ReceivedBody { body, upload: Some(upload) })
@@ -87,19 +81,16 @@
 
     /// Receives a body to its end, or until it exceeds the limit for which there is memory.
     async fn read_ahead(&self, mut receiver: BodyReceiver) -> Result<ReadAhead, BodyError> {
-        let mut received = BytesMut::new();
-        let mut memory = None;
+        let mut buffer = ReadAheadBuffer::new(&self.memory, receiver.bytes_remaining());
         while let Some(data) = receiver.next().await? {
-            received.extend_from_slice(&data);
-            if receiver.bytes_received() > SMALL_BODY_BYTES && memory.is_none() {
-                memory = self.upstreams.read_ahead_memory.try_reserve(MAX_READ_AHEAD_BYTES);
-            }
-            let limit = if memory.is_some() { MAX_READ_AHEAD_BYTES } else { SMALL_BODY_BYTES };
-            if receiver.bytes_received() > limit {
-                let partial = PartialBody { received: received.freeze(), memory, rest: receiver };
-                return Ok(ReadAhead::Partial(partial));
+            buffer.append(&data);
+            if buffer.is_full() {
+                return Ok(ReadAhead::Partial(PartialBody {
+                    received: buffer.into_buffer(),
+                    rest: receiver,
+                }));
             }
         }
-        Ok(ReadAhead::Complete { bytes: received.freeze(), memory })
+        Ok(ReadAhead::Complete(buffer.into_buffer().into_bytes()))
     }
 }
--- a/crates/proxy/src/frontend/client.rs
+++ b/crates/proxy/src/frontend/client.rs
@@ -13,8 +13,10 @@
 use tokio::time::Instant;
 
 use super::REQUEST_TIMEOUT;
+use super::raw_head::RawHead;
 use super::write_watchdog::WriteWatchdog;
 use crate::close_reason::ClientCloseReason;
+use crate::memory::BufferSizes;
 use crate::socket::has_ended;
 use crate::upload_clock::UploadClock;
 
@@ -60,9 +62,9 @@
     pub(super) closed_while_idle: Cell<bool>,
     /// When the first byte of the current request head was read. Line breaks before a head don't count as part of it.
     pub(super) head_started_at: Cell<Instant>,
-    /// The raw bytes of the current request head. Bytes that were read together with the previous request, before the
-    /// connection became idle, are missing.
-    pub(super) raw_head: RefCell<Vec<u8>>,
+    /// What the raw bytes of the current request head have shown. Bytes that were read together with the previous request,
+    /// before the connection became idle, are missing.
+    pub(super) raw_head: RefCell<RawHead>,
     /// Whether the body of the latest request has been received to its end; true if that request has no body.
     pub(super) body_ended: Rc<Cell<bool>>,
     /// The clock of the latest request with a body.
@@ -73,6 +75,8 @@
     pub(super) receive_buffer_empty: Cell<bool>,
     /// Detects that the client reads nothing of a streamed response.
     pub(super) write_watchdog: WriteWatchdog,
+    /// The sizes of the connection's buffers.
+    pub(super) buffers: Cell<BufferSizes>,
     /// Signals the connection's task to close the connection.
     close: Notify,
     /// The reason for which the connection is closed, once it is known.
@@ -110,6 +114,7 @@
             next_request_waits: Cell::new(false),
             receive_buffer_empty: Cell::new(false),
             write_watchdog: WriteWatchdog::new(now),
+            buffers: Cell::new(BufferSizes::NARROW),
             close: Notify::new(),
             close_reason: Cell::new(None),
         }
--- a/crates/proxy/src/frontend/client_socket.rs
+++ b/crates/proxy/src/frontend/client_socket.rs
@@ -10,10 +10,11 @@
 use tokio::time::Instant;
 
 use super::client::{Client, Stage};
-use super::{Frontend, MAX_HEAD_BYTES, REQUEST_TIMEOUT};
+use super::raw_head::RawHead;
+use super::{Frontend, REQUEST_TIMEOUT};
 use crate::socket::{half_close, poll_read, poll_write, poll_write_vectored};
 
-/// A client's socket. It records in the [`Client`] when a request head starts to arrive, the raw bytes of the head,
+/// A client's socket. It records in the [`Client`] when a request head starts to arrive, what its raw bytes show,
 /// when bytes were last read or written, and that the client has closed its sending side.
 pub(super) struct ClientSocket {
     pub(super) client: Rc<Client>,
@@ -39,7 +40,7 @@
 
     /// Begins a new request head, whose first bytes arrived in `stage`.
     fn start_head(&self, stage: Stage) {
-        self.client.raw_head.borrow_mut().clear();
+        self.client.raw_head.replace(RawHead::default());
         if stage == Stage::Idle {
             self.client.request_deadline.set(Instant::now() + REQUEST_TIMEOUT);
         }
@@ -49,18 +50,18 @@
     /// Appends bytes to the raw head. While the head consists of line breaks only, each read resets its start time.
     fn append_to_head(&self, bytes: &[u8]) {
         let mut raw_head = self.client.raw_head.borrow_mut();
-        if raw_head.trim_ascii_start().is_empty() {
+        if raw_head.is_blank() {
             self.client.head_started_at.set(Instant::now());
         }
-        let capacity = (MAX_HEAD_BYTES + 1).saturating_sub(raw_head.len()); // a longer head lacks its end here
-        raw_head.extend_from_slice(&bytes[..bytes.len().min(capacity)]);
+        raw_head.append(bytes);
     }
 }
 
 impl AsyncRead for ClientSocket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let filled_before = buf.filled().len();
-        let read = poll_read(&self.client.stream, cx, buf);
+        let max_read = self.client.buffers.get().max_read();
+        let read = poll_read(&self.client.stream, cx, buf, max_read);
         // A task that has used up its budget has to wait although there may be bytes to read.
         let found_empty = read.is_pending() && has_budget_remaining();
         let was_empty = self.client.receive_buffer_empty.replace(found_empty);
--- a/crates/proxy/src/frontend/connection.rs
+++ b/crates/proxy/src/frontend/connection.rs
@@ -10,12 +10,14 @@
 use tokio::time::{Instant, sleep_until};
 use tracing::info;
 
+use super::Frontend;
 use super::client::{Client, Stage};
 use super::client_socket::ClientSocket;
 use super::linger::reject_incomplete;
-use super::{Frontend, MAX_HEAD_BYTES};
+use super::live_count::CountGuard;
 use crate::close_reason::ClientCloseReason;
-use crate::socket::{PeekResult, peek, send_buffer_size};
+use crate::memory::MAX_HEAD_BYTES;
+use crate::socket::{PeekResult, peek, send_buffer_size, wait_for_input};
 
 /// Time after which a connection that is shutting down is closed at once, unless a request is in flight.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -46,9 +48,48 @@
     Close,
 }
 
+/// How the HTTP library's part of a connection has ended.
+#[derive(PartialEq)]
+enum ServedEnd {
+    /// The client may still be sending.
+    Linger,
+    /// The connection closes at once.
+    Close,
+}
+
 impl Frontend {
-    /// Serves a connection until it has ended, then lingers if the client may still be sending.
+    /// Serves a connection until it has ended, then lingers if the client may still be sending. The HTTP library's
+    /// buffers exist from the first byte on, and are released before the linger.
     pub(super) async fn serve_connection(self: &Rc<Self>, client: &Rc<Client>) {
+        if !client.first_byte_arrived().await {
+            return;
+        }
+        let end = match self.reserve_served_connection() {
+            Some(_served) => self.serve_requests(client).await,
+            None => {
+                client.record_close_reason(ClientCloseReason::NoMemory);
+                reject_incomplete(&client.stream, false);
+                ServedEnd::Linger
+            }
+        };
+        // Hyper has already responded to a malformed request, and the client has to be able to read that response. A
+        // client that has closed its sending side sends nothing that could reset the connection first.
+        if end == ServedEnd::Linger && !client.read_closed.get() {
+            self.linger(client).await;
+        }
+    }
+
+    /// Counts a connection as one with buffers for as long as the returned guard exists. If there are too many, evicts
+    /// another one, which ends within the same turn of the event loop; returns `None` if none can be evicted.
+    fn reserve_served_connection(&self) -> Option<CountGuard> {
+        let has_room = self.served_connections.get() < self.memory.max_served_connections();
+        (has_room || self.connections.evict_one_with_buffers()).then(|| self.served_connections.start())
+    }
+
+    /// Serves a connection's requests until it is to be closed.
+    async fn serve_requests(self: &Rc<Self>, client: &Rc<Client>) -> ServedEnd {
+        let buffers = self.memory.connection_buffers();
+        client.buffers.set(buffers.sizes());
         let service = service_fn(|request| {
             let frontend = self.clone();
             let client = client.clone();
@@ -72,15 +113,10 @@
                     close_deadline = close_deadline.or(Some(Instant::now() + CLOSE_TIMEOUT));
                 }
                 NextStep::ExtendCloseTimeout => close_deadline = Some(Instant::now() + CLOSE_TIMEOUT),
-                NextStep::Linger => break,
-                NextStep::Close => return,
+                NextStep::Linger => return ServedEnd::Linger,
+                NextStep::Close => return ServedEnd::Close,
             }
         }
-        // Hyper has already responded to a malformed request, and the client has to be able to read that response. A
-        // client that has closed its sending side sends nothing that could reset the connection first.
-        if !client.read_closed.get() {
-            self.linger(client).await;
-        }
     }
 }
 
@@ -104,6 +140,15 @@
 }
 
 impl Client {
+    /// Waits for the first byte, or for the end of the input. Returns false if the connection is to be closed before.
+    async fn first_byte_arrived(&self) -> bool {
+        tokio::select! {
+            biased;
+            () = wait_for_input(&self.stream) => true,
+            () = self.close_requested() => false,
+        }
+    }
+
     /// Decides the next step after an event, and records why the connection is closed if it is.
     fn next_step(&self, event: ConnectionEvent) -> NextStep {
         match event {
--- a/crates/proxy/src/frontend/connection_table.rs
+++ b/crates/proxy/src/frontend/connection_table.rs
@@ -19,6 +19,9 @@
 /// The stages in which a connection may be evicted, in the order of eviction.
 const EVICTION_ORDER: [Stage; 4] = [Stage::Lingering, Stage::New, Stage::Idle, Stage::ReadingHead];
 
+/// The stages of [`EVICTION_ORDER`] in which a connection has buffers.
+const STAGES_WITH_BUFFERS: [Stage; 2] = [Stage::Idle, Stage::ReadingHead];
+
 /// The connections of one stage by [`Client::stage_order`], so in the order in which they entered it.
 type StageConnections = BTreeMap<u64, Rc<Client>>;
 
@@ -77,14 +80,24 @@
         }
     }
 
+    /// Evicts one connection that has buffers, if there is one with the required age. Returns whether there was one.
+    pub(super) fn evict_one_with_buffers(&self) -> bool {
+        self.evict_from(&STAGES_WITH_BUFFERS, EvictionPolicy::SpareRecent)
+    }
+
     /// Evicts one connection: requests the close of the oldest connection in the first evictable stage whose oldest
     /// connection has the required age, and removes it from the table so that it is not selected twice. Returns whether
     /// there was one.
     pub(super) fn evict_one(&self, policy: EvictionPolicy) -> bool {
+        self.evict_from(&EVICTION_ORDER, policy)
+    }
+
+    /// Evicts one connection in these stages, which are tried in their order.
+    fn evict_from(&self, stages: &[Stage], policy: EvictionPolicy) -> bool {
         let mut evictable = self.evictable.borrow_mut();
-        for (connections, stage) in evictable.iter_mut().zip(EVICTION_ORDER) {
-            let min_age = min_age(stage, policy);
-            let Some(oldest) = connections.first_entry() else { continue };
+        for stage in stages {
+            let min_age = min_age(*stage, policy);
+            let Some(oldest) = evictable[*stage as usize].first_entry() else { continue };
             if oldest.get().stage_since.get().elapsed() >= min_age {
                 oldest.remove().request_close(ClientCloseReason::Evicted);
                 return true;
--- a/crates/proxy/src/frontend/forward.rs
+++ b/crates/proxy/src/frontend/forward.rs
@@ -186,13 +186,8 @@
     }
     let client = Rc::downgrade(client);
     let client_disconnected = move || client.upgrade().is_none_or(|client| client.has_disconnected());
-    UpstreamRequest {
-        method: head.method,
-        uri: origin_form(&head.uri),
-        headers,
-        body,
-        client_disconnected: Box::new(client_disconnected),
-    }
+    let uri = origin_form(&head.uri);
+    UpstreamRequest::new(head.method, uri, headers, body, Box::new(client_disconnected))
 }
 
 /// Waits for the final response, and meanwhile receives the rest of a streamed body.
--- a/crates/proxy/src/frontend/forwarded_head.rs
+++ b/crates/proxy/src/frontend/forwarded_head.rs
@@ -4,15 +4,20 @@
 
 use hyper::Uri;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::http::uri::PathAndQuery;
 
 const X_REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 const X_FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
 const X_FORWARDED_PROTO: HeaderName = HeaderName::from_static("x-forwarded-proto");
 
 /// Converts a request target to origin form: path and query, unchanged, without the scheme and authority of an absolute
-/// URI.
+/// URI. They are copied out of the buffer into which the head was read.
 pub(super) fn origin_form(uri: &Uri) -> Uri {
-    uri.path_and_query().cloned().map_or_else(Uri::default, Uri::from)
+    uri.path_and_query().map(copy_path).map_or_else(Uri::default, Uri::from)
+}
+
+fn copy_path(path: &PathAndQuery) -> PathAndQuery {
+    path.as_str().parse().unwrap_or_else(|_| path.clone())
 }
 
 /// Adds the client's address, the protocol and, if the client sent none, the request id to the headers.
--- a/crates/proxy/src/frontend/linger.rs
+++ b/crates/proxy/src/frontend/linger.rs
@@ -12,9 +12,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until, timeout};
 
+use super::Frontend;
 use super::client::{Client, Stage};
-use super::{Frontend, MAX_HEAD_BYTES};
-use crate::socket::{half_close, is_transient};
+use crate::socket::{self, PeekResult, half_close, is_transient, peek, wait_for_input};
 
 /// Longest time for which a closing connection waits for the client to close its side.
 const MAX_LINGER_TIME: Duration = Duration::from_millis(1500);
@@ -53,14 +53,8 @@
 /// Waits until the client has closed its side or has sent more input, which is left unread.
 async fn wait_for_input_or_end(stream: &TcpStream) {
     let reset_at = Instant::now() + MIN_RESET_DELAY;
-    let has_input = loop {
-        match stream.peek(&mut [0]).await {
-            Ok(length) => break length > 0,
-            Err(error) if is_transient(&error) => {}
-            Err(_) => break false,
-        }
-    };
-    if has_input {
+    wait_for_input(stream).await;
+    if peek(stream) == PeekResult::Bytes {
         sleep_until(reset_at).await;
     }
 }
@@ -70,10 +64,9 @@
     if half_close(stream).is_err() {
         return;
     }
-    let mut buffer = vec![0; MAX_HEAD_BYTES];
     let mut remaining = MAX_LINGER_BYTES;
     while remaining > 0 && stream.readable().await.is_ok() {
-        match stream.try_read(&mut buffer) {
+        match socket::discard_input(stream) {
             Ok(0) => return,
             Ok(read) => remaining = remaining.saturating_sub(read),
             Err(error) if is_transient(&error) => {}
--- a/crates/proxy/src/frontend/mod.rs
+++ b/crates/proxy/src/frontend/mod.rs
@@ -9,13 +9,13 @@
 //!    `write_watchdog` detects a client that reads nothing of its streamed response.
 //! 3. `service` is called for each request whose head has been read, and `received` determines when the head arrived.
 //!    The service rejects the request if too many requests are in flight.
-//! 4. `admission` checks the head, and for a chunked request the `raw_head` too. `body` receives the body, either
-//!    completely or up to the limit for buffered bodies.
+//! 4. `admission` checks the head, and for a chunked request the `raw_head` too. `body` receives the body into the
+//!    `read_ahead` buffer, either completely or up to the limit for buffered bodies.
 //! 5. `forward` submits the request to the driver, with its head changed by `forwarded_head`, and waits for the final
 //!    response while the rest of a streamed body is received. `cancellation` notifies the driver if the client
 //!    disconnects first.
 //! 6. `response` converts the final response to the HTTP response to the client. The request ends at that point, or
-//!    with the last byte of a streamed response. `streamed_responses` counts those that are being passed on.
+//!    with the last byte of a streamed response. `live_count` counts those that are being passed on.
 //!
 //! `linger` closes a connection whose client may still be sending. `shutdown` finishes the accepted requests before the
 //! process ends.
@@ -31,12 +31,13 @@
 mod forwarded_head;
 mod linger;
 mod listener;
+mod live_count;
 mod raw_head;
+mod read_ahead;
 mod received;
 mod response;
 mod service;
 mod shutdown;
-mod streamed_responses;
 mod write_watchdog;
 
 use std::cell::{Cell, RefCell};
@@ -55,17 +56,15 @@
 use crate::close_reason::ClientCloseReason;
 use crate::handover::Handover;
 use crate::inbox::Inbox;
+use crate::memory::ProcessMemory;
 use crate::metrics::Metrics;
 use crate::open_ids::OpenRequestIds;
 use crate::sockets::Sockets;
 use crate::upstream::UpstreamPool;
 use client::{Client, Stage};
 use connection_table::{ConnectionTable, MIN_IDLE_TIME};
-use streamed_responses::StreamedResponses;
+use live_count::LiveCount;
 
-/// Maximum length of a request head, in bytes. It is large enough for any client of the protocol, and small enough that
-/// all connections can buffer a head at the same time.
-const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Time within which a request has to arrive completely: from its first byte on, or from the accept of the connection
 /// for the connection's first request. A client that sends no complete request has to get an error response or a close
 /// within 3 s. A body that is sent fast enough may take longer.
@@ -81,10 +80,12 @@
     pub inbox: Inbox,
     /// The configured request classes.
     pub classes: Rc<RefCell<Classes>>,
-    /// The upstream pool, for the memory budgets that the client side and the upstream side share.
+    /// The upstream pool, for idle connections whose descriptors are needed.
     pub upstreams: Rc<UpstreamPool>,
     /// The sockets of both sides.
     pub sockets: Rc<Sockets>,
+    /// The memory of the process.
+    pub memory: Rc<ProcessMemory>,
     /// The handover state; `None` if handover is not configured.
     pub handover: Option<Rc<Handover>>,
     /// The metrics that count requests and connections.
@@ -100,6 +101,7 @@
     inbox: Inbox,
     classes: Rc<RefCell<Classes>>,
     upstreams: Rc<UpstreamPool>,
+    memory: Rc<ProcessMemory>,
     sockets: Rc<Sockets>,
     handover: Option<Rc<Handover>>,
     metrics: Arc<Metrics>,
@@ -110,7 +112,10 @@
     /// Whether the process is shutting down.
     is_shutting_down: Cell<bool>,
     connections: ConnectionTable,
-    streamed_responses: StreamedResponses,
+    /// The responses that are being streamed to clients.
+    streamed_responses: LiveCount,
+    /// The connections that have buffers.
+    served_connections: LiveCount,
     /// When the accept queue was last seen empty.
     accept_queue_empty_at: Cell<Instant>,
     open_ids: OpenRequestIds,
@@ -125,6 +130,7 @@
             inbox: parts.inbox,
             classes: parts.classes,
             upstreams: parts.upstreams,
+            memory: parts.memory,
             sockets: parts.sockets,
             handover: parts.handover,
             metrics: parts.metrics,
@@ -133,7 +139,8 @@
             drained: parts.drained,
             is_shutting_down: Cell::new(false),
             connections: ConnectionTable::default(),
-            streamed_responses: StreamedResponses::default(),
+            streamed_responses: LiveCount::default(),
+            served_connections: LiveCount::default(),
             accept_queue_empty_at: Cell::new(Instant::now()),
             open_ids: OpenRequestIds::default(),
             connections_changed: Notify::new(),
--- a/crates/proxy/src/frontend/raw_head/tests.rs
+++ b/crates/proxy/src/frontend/raw_head/tests.rs
@@ -5,7 +5,21 @@
 
 use hyper::header::{HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 
-use super::has_no_content_length;
+use super::RawHead;
+
+/// Whether a raw head proves that there is no Content-Length, read at once and byte by byte.
+fn has_no_content_length(raw_head: &[u8], headers: &HeaderMap) -> bool {
+    let read_in_pieces = |size: usize| {
+        let mut head = RawHead::default();
+        raw_head.chunks(size).for_each(|piece| head.append(piece));
+        head.has_no_content_length(headers)
+    };
+    let proves_at_once = read_in_pieces(raw_head.len().max(1));
+    for size in 1..20 {
+        assert_eq!(read_in_pieces(size), proves_at_once, "in pieces of {size}: {raw_head:?}");
+    }
+    proves_at_once
+}
 
 /// The headers that hyper parses from a head with `Host` and `Transfer-Encoding`, whether or not the head has a
 /// Content-Length.
--- a/crates/proxy/src/frontend/received.rs
+++ b/crates/proxy/src/frontend/received.rs
@@ -7,6 +7,7 @@
 use super::REQUEST_TIMEOUT;
 use super::client::{Client, Stage};
 use super::connection_table::MIN_STAGE_AGE;
+use super::raw_head::RawHead;
 
 /// A request whose head has been read.
 pub(super) struct ReceivedHead {
@@ -16,9 +17,9 @@
     /// When the head was read completely, or the earliest time at which its connection may have entered the accept
     /// queue, if the head may have arrived there.
     pub(super) arrived_at: Instant,
-    /// The raw bytes of the head, if they can be distinguished from those of the previous request. Their start is
-    /// missing if it was read together with the previous request, and their end is missing if the head is too long.
-    pub(super) raw_head: Option<Vec<u8>>,
+    /// What the raw bytes of the head have shown, if they can be distinguished from those of the previous request. Their
+    /// start is missing if it was read together with the previous request.
+    pub(super) raw_head: Option<RawHead>,
 }
 
 impl ReceivedHead {
--- a/crates/proxy/src/frontend/service.rs
+++ b/crates/proxy/src/frontend/service.rs
@@ -34,7 +34,8 @@
     ) -> Result<Response<MessageBody>, ClientDisconnected> {
         client.next_request_waits.set(false);
         client.write_watchdog.stop();
-        let overloaded = self.connections.in_flight() > self.sockets.max_in_flight();
+        let max_in_flight = self.sockets.max_in_flight().min(self.memory.max_requests());
+        let overloaded = self.connections.in_flight() > max_in_flight;
         let mut response = if overloaded {
             self.reject_overloaded(&received)
         } else {
--- a/crates/proxy/src/frontend/shutdown.rs
+++ b/crates/proxy/src/frontend/shutdown.rs
@@ -98,11 +98,11 @@
     /// timeouts of its backend and its client, and by SIGKILL.
     async fn finish_requests(&self, deadline: Instant) {
         self.finish_requests_until(deadline).await;
-        if !self.streamed_responses.any() {
+        if self.streamed_responses.get() == 0 {
             return;
         }
         info!("waiting for streamed responses");
-        while self.streamed_responses.any() {
+        while self.streamed_responses.get() > 0 {
             self.connections_changed.notified().await;
             self.connections.close_all(Stage::Idle, ClientCloseReason::Shutdown);
         }
--- a/crates/proxy/src/frontend/write_watchdog.rs
+++ b/crates/proxy/src/frontend/write_watchdog.rs
@@ -6,7 +6,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
 
-use super::streamed_responses::StreamedResponse;
+use super::live_count::CountGuard;
 use crate::body_stream::MIN_PEER_BYTES_PER_SECOND;
 
 /// Lower bound of the send buffer that is assumed for a socket, in bytes: the default limit of Linux (`tcp_wmem`). The
@@ -15,8 +15,8 @@
 
 /// Tracks the writes of a streamed response to a client's socket.
 pub(super) struct WriteWatchdog {
-    /// The response that is being streamed, if there is one.
-    response: RefCell<Option<StreamedResponse>>,
+    /// Counts the response that is being streamed, if there is one.
+    response: RefCell<Option<CountGuard>>,
     /// Whether hyper has taken the last byte of the response. Some bytes may not have been written to the socket yet.
     has_ended: Cell<bool>,
     /// When bytes were last written to the socket, or when streaming started.
@@ -36,7 +36,7 @@
     }
 
     /// Starts to watch a streamed response.
-    pub(super) fn start(&self, response: StreamedResponse) {
+    pub(super) fn start(&self, response: CountGuard) {
         self.response.replace(Some(response));
         self.has_ended.set(false);
         self.last_write.set(Instant::now());
--- a/crates/proxy/src/frontend/write_watchdog/tests.rs
+++ b/crates/proxy/src/frontend/write_watchdog/tests.rs
@@ -1,4 +1,4 @@
-use super::super::streamed_responses::StreamedResponses;
+use super::super::live_count::LiveCount;
 use super::*;
 
 /// A send buffer in bytes that is larger than the default limit.
@@ -17,7 +17,7 @@
 fn client_that_takes_nothing_expires_also_if_the_wait_began_before_the_response() {
     run_paused(async {
         let watchdog = WriteWatchdog::new(Instant::now());
-        let responses = StreamedResponses::default();
+        let responses = LiveCount::default();
         let start_response = async {
             tokio::time::sleep(Duration::from_secs(1)).await;
             watchdog.start(responses.start());
@@ -37,7 +37,7 @@
 fn write_restarts_the_timeout_and_larger_send_buffer_extends_it() {
     run_paused(async {
         let watchdog = WriteWatchdog::new(Instant::now());
-        let responses = StreamedResponses::default();
+        let responses = LiveCount::default();
         watchdog.start(responses.start());
         let started_at = Instant::now();
         let write = async {
@@ -55,7 +55,7 @@
 fn nothing_expires_without_a_streamed_response() {
     run_paused(async {
         let watchdog = WriteWatchdog::new(Instant::now());
-        let responses = StreamedResponses::default();
+        let responses = LiveCount::default();
         watchdog.start(responses.start());
         watchdog.stop();
         let expired = tokio::time::timeout(10 * DEFAULT_TIMEOUT, watchdog.expired(|| 0)).await;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,7 +6,6 @@
 
 mod access_record;
 mod admin;
-mod body_memory;
 mod body_stream;
 mod body_upload;
 mod cause;
@@ -22,6 +21,7 @@
 mod head;
 mod inbox;
 mod listed_endpoint;
+mod memory;
 mod metrics;
 mod open_ids;
 mod passed_socket;
--- a/crates/proxy/src/body_memory.rs
+++ b/crates/proxy/src/memory/budget.rs
@@ -1,4 +1,4 @@
-//! Memory budgets for bodies, and bytes that hold their part of a budget for as long as they exist.
+//! A memory budget for bodies, and bytes that hold their part of it for as long as they exist.
 
 use std::sync::Arc;
 
@@ -7,8 +7,6 @@
 
 /// Bytes of memory that one semaphore permit represents.
 const BYTES_PER_PERMIT: usize = 1 << 10;
-/// Smallest number of permits in a budget, so that one chunk fits into it however little memory is configured.
-const MIN_PERMITS: usize = 64;
 
 /// A limit on the memory that bodies occupy. Clones share the same budget.
 #[derive(Clone)]
@@ -18,10 +16,9 @@
 pub type MemoryReservation = OwnedSemaphorePermit;
 
 impl MemoryBudget {
-    /// Creates a budget of `bytes`, rounded down to whole permits and raised to the minimum.
+    /// Creates a budget of `bytes`, rounded down to whole permits.
     pub fn new(bytes: usize) -> Self {
-        let permits = (bytes / BYTES_PER_PERMIT).max(MIN_PERMITS);
-        MemoryBudget(Arc::new(Semaphore::new(permits)))
+        MemoryBudget(Arc::new(Semaphore::new(bytes / BYTES_PER_PERMIT)))
     }
 
     /// Reserves `bytes` if the budget has that much left now.
@@ -51,5 +48,29 @@
     Bytes::from_owner(ReservedBytes { bytes, _reservation: reservation })
 }
 
+/// A part of a body that has been read into a buffer.
+#[derive(Default)]
+pub struct BodyBuffer {
+    /// The bytes. The buffer's capacity is no larger than what is reserved.
+    pub bytes: Vec<u8>,
+    /// The reservation of the buffer; `None` for a small one, which needs none.
+    pub reservation: Option<MemoryReservation>,
+}
+
+impl BodyBuffer {
+    /// The bytes, with their reservation if there is one.
+    pub fn into_bytes(self) -> Bytes {
+        match self.reservation {
+            Some(reservation) => reserved_bytes(self.bytes, reservation),
+            None => Bytes::from(self.bytes),
+        }
+    }
+
+    /// Makes room for `length` bytes in all.
+    pub fn grow_to(&mut self, length: usize) {
+        self.bytes.reserve_exact(length.saturating_sub(self.bytes.len()));
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/proxy/src/server/run.rs
+++ b/crates/proxy/src/server/run.rs
@@ -15,7 +15,6 @@
 use super::bound_sockets::BoundSockets;
 use super::reload::Reloader;
 use crate::admin::{self, CommandRequest};
-use crate::body_memory::MemoryBudget;
 use crate::classes::Classes;
 use crate::config::{ClientProtocol, Config, EndpointSource};
 use crate::discovery::{self, DiscoveryCalls};
@@ -25,13 +24,11 @@
 use crate::handover::SharedState;
 use crate::inbox::{Inbox, Input};
 use crate::listed_endpoint::ListedEndpoint;
+use crate::memory::{MemoryPlan, ProcessMemory};
 use crate::metrics::Metrics;
 use crate::sockets::{SocketLimits, Sockets};
 use crate::upstream::UpstreamPool;
 
-/// Denominator of the fraction of the configured memory that bodies get which are read ahead. Two processes share the
-/// memory during an upgrade.
-const READ_AHEAD_MEMORY_DIVISOR: usize = 12;
 /// The addresses on which a proxy listens.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
@@ -111,8 +108,11 @@
     if let Some(peers) = &peers {
         spawn_local(peers.clone().listen(shared.inbox.clone()));
     }
-    let sockets = Sockets::new(SocketLimits::new(config.max_sockets), handover.clone());
-    let upstreams = Rc::new(new_upstreams(&config, &shared.metrics, sockets.clone()));
+    let plan = MemoryPlan::new(config.max_memory, config.max_sockets, handover.is_some());
+    let memory = Rc::new(ProcessMemory::new(plan));
+    let limits = SocketLimits::new(config.max_sockets, memory.max_requests());
+    let sockets = Sockets::new(limits, handover.clone());
+    let upstreams = Rc::new(new_upstreams(&config, &shared.metrics, memory.clone(), sockets.clone()));
     let parts = DriverParts {
         commands,
         classes: shared.classes.clone(),
@@ -136,7 +136,8 @@
     }
     let driver = spawn_local(driver.run(inputs));
     let Shared { inbox, classes, metrics, access_rate, drained } = shared;
-    let parts = FrontendParts { inbox, classes, upstreams, sockets, handover, metrics, drained, access_rate };
+    let parts =
+        FrontendParts { inbox, classes, upstreams, sockets, memory, handover, metrics, drained, access_rate };
     let frontend = Frontend::new(parts);
     ready(addresses);
     // Without its driver the proxy could only fail every request, so it ends and can be restarted.
@@ -167,10 +168,11 @@
     Ok(Some(address))
 }
 
-fn new_upstreams(config: &Config, metrics: &Arc<Metrics>, sockets: Rc<Sockets>) -> UpstreamPool {
-    let read_ahead_memory = MemoryBudget::new(config.max_memory / READ_AHEAD_MEMORY_DIVISOR);
+fn new_upstreams(
+    config: &Config, metrics: &Arc<Metrics>, memory: Rc<ProcessMemory>, sockets: Rc<Sockets>,
+) -> UpstreamPool {
     let is_plain = matches!(config.client_protocol, ClientProtocol::Plain(_));
-    UpstreamPool::new(&config.connections, sockets, is_plain, metrics.clone(), read_ahead_memory)
+    UpstreamPool::new(&config.connections, sockets, is_plain, metrics.clone(), memory)
 }
 
 fn log_start(config: &Config, addresses: &Addresses) {
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -6,6 +6,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
+use bytes::BufMut;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -22,6 +23,8 @@
 
 /// Most bytes that are gathered from several slices for one write.
 const MAX_GATHERED_BYTES: usize = 16 << 10;
+/// Most bytes that are read and discarded at once.
+const MAX_DISCARDED_BYTES: usize = 16 << 10;
 
 thread_local! {
     /// The buffer in which the slices of one write are gathered, shared by all sockets of a thread.
@@ -56,6 +59,12 @@
     }
 }
 
+/// Waits until a socket has unread bytes, its stream has ended or the connection has failed. The runtime's readiness
+/// alone does not show it: a new socket counts as readable until a read finds nothing.
+pub async fn wait_for_input(stream: &TcpStream) {
+    while stream.peek(&mut [0]).await.is_err_and(|error| is_transient(&error)) {}
+}
+
 /// The size in bytes of a socket's receive buffer, which bounds the bytes that have arrived and are unread.
 pub fn receive_buffer_size(stream: &TcpStream) -> u64 {
     socket2::SockRef::from(stream).recv_buffer_size().map_or(0, |size| size as u64)
@@ -73,15 +82,14 @@
     peek(stream) == PeekResult::End
 }
 
-/// Polls a read from a socket by shared reference; retries interrupted calls.
-pub fn poll_read(stream: &TcpStream, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+/// Polls a read of at most `max_read` bytes from a socket by shared reference; retries interrupted calls.
+pub fn poll_read(
+    stream: &TcpStream, cx: &mut Context, buf: &mut ReadBuf, max_read: usize,
+) -> Poll<io::Result<()>> {
     loop {
         ready!(stream.poll_read_ready(cx))?;
-        match stream.try_read(buf.initialize_unfilled()) {
-            Ok(read) => {
-                buf.advance(read);
-                return Poll::Ready(Ok(()));
-            }
+        match stream.try_read_buf(&mut BufMut::limit(&mut *buf, max_read)) {
+            Ok(_) => return Poll::Ready(Ok(())),
             Err(error) if is_transient(&error) => {}
             Err(error) => return Poll::Ready(Err(error)),
         }
@@ -151,7 +159,7 @@
 
 impl AsyncRead for Uninterrupted {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        poll_read(&self.0, cx, buf)
+        poll_read(&self.0, cx, buf, usize::MAX)
     }
 }
 
@@ -169,6 +177,12 @@
     }
 }
 
+/// Reads and discards bytes that have arrived, up to a limit; returns their number, which is 0 at the end of the stream.
+/// The buffer is no part of a task, so that a connection that is only being closed holds none.
+pub fn discard_input(stream: &TcpStream) -> io::Result<usize> {
+    stream.try_read(&mut [0; MAX_DISCARDED_BYTES])
+}
+
 /// Closes the sending side of a connection; it can still receive.
 pub fn half_close(stream: &TcpStream) -> io::Result<()> {
     socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write)
--- a/crates/proxy/src/sockets.rs
+++ b/crates/proxy/src/sockets.rs
@@ -36,15 +36,15 @@
 }
 
 impl SocketLimits {
-    /// The limits of a process that may use `max_descriptors`. While two processes of this proxy overlap, each may use half
-    /// of the sockets.
-    pub fn new(max_descriptors: usize) -> Self {
+    /// The limits of a process that may use `max_descriptors` and has memory for `max_backends` connections to backends.
+    /// While two processes of this proxy overlap, each may use half of the sockets.
+    pub fn new(max_descriptors: usize, max_backends: usize) -> Self {
         let without_reserved = |descriptors: usize| descriptors.saturating_sub(RESERVED_DESCRIPTORS);
         let without_overlap = without_reserved(max_descriptors).max(RESERVED_DESCRIPTORS);
         SocketLimits {
             without_overlap,
             with_overlap: without_reserved(max_descriptors / 2).max(RESERVED_DESCRIPTORS / 2),
-            max_backends: without_overlap / 2,
+            max_backends: max_backends.min(without_overlap / 2),
             sending_clients: max_descriptors.div_ceil(CLIENT_DIVISOR),
         }
     }
--- a/crates/proxy/src/sockets/tests.rs
+++ b/crates/proxy/src/sockets/tests.rs
@@ -3,7 +3,7 @@
 const MAX_DESCRIPTORS: usize = 1024;
 
 fn sockets() -> Rc<Sockets> {
-    Sockets::new(SocketLimits::new(MAX_DESCRIPTORS), None)
+    Sockets::new(SocketLimits::new(MAX_DESCRIPTORS, MAX_DESCRIPTORS), None)
 }
 
 /// Adds sockets for backends until there are as many or no more are free.
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -24,6 +24,7 @@
 use super::response::UpstreamResponse;
 use super::response_deadline::ResponseDeadline;
 use crate::body_stream::BodyStream;
+use crate::memory::BufferSizes;
 
 /// The time limits of an attempt.
 #[derive(Clone, Copy)]
@@ -93,7 +94,8 @@
         match sent.result {
             Ok(exchange) => {
                 let outcome = exchange.outcome;
-                let reusable = self.deliver_response(exchange, report).await;
+                let buffers = sent.connection.resources.buffers.sizes();
+                let reusable = self.deliver_response(exchange, buffers, report).await;
                 self.pool.release(sent.connection, &self.endpoint, outcome, reusable).await;
             }
             // Dropping the connection closes it: it can't be reused after an error.
@@ -173,10 +175,11 @@
     ) -> Result<Exchange, SendError> {
         let progress = connection.progress.clone();
         let is_plain_http = self.pool.is_plain_http;
+        let memory = &self.pool.memory;
         let exchange = async {
             tokio::select! {
                 biased;
-                exchange = exchange(&mut connection.sender, request, &progress, is_plain_http) => exchange,
+                exchange = exchange(&mut connection.sender, request, &progress, is_plain_http, memory) => exchange,
                 () = progress.response.stalled() => Err(ExchangeError::Stalled),
             }
         };
@@ -206,7 +209,7 @@
 
     async fn response_timed_out(&self, progress: &RequestProgress) {
         match &self.request.body {
-            RequestBody::Buffered { .. } => sleep_until(self.limits.deadline).await,
+            RequestBody::Buffered(_) => sleep_until(self.limits.deadline).await,
             RequestBody::Streamed(_) => progress.response_timed_out().await,
         }
     }
@@ -221,10 +224,12 @@
         }
     }
 
-    /// Reports the outcome of an exchange and streams the rest of its response. Returns whether the connection can be
+    /// Reports the outcome of an exchange and streams the rest of its response, which is read into buffers of these sizes.
+    /// Returns whether the connection can be
     /// reused afterwards.
     async fn deliver_response(
-        &self, exchange: Exchange, report: impl FnOnce(Outcome, Option<UpstreamResponse>),
+        &self, exchange: Exchange, buffers: BufferSizes,
+        report: impl FnOnce(Outcome, Option<UpstreamResponse>),
     ) -> bool {
         let Exchange { outcome, response, reusable } = exchange;
         let Some(BackendResponse { first_byte_at, status, headers, body }) = response else {
@@ -244,13 +249,14 @@
             }
             // The outcome is final. How long the rest of the response takes depends on how fast the client reads.
             ResponseBody::Partial { read, rest } => {
-                let length = rest.size_hint().exact().map(|rest| read.len() as u64 + rest);
-                let (sender, stream) = BodyStream::new(length);
+                let length = rest.size_hint().exact().map(|rest| read.bytes.len() as u64 + rest);
+                let (sender, stream) = BodyStream::new(length, buffers);
                 let body = Either::Right(stream);
                 report(outcome, Some(UpstreamResponse { first_byte_at, status, headers, body }));
                 if !reusable {
                     return false;
                 }
+                self.request.release_content(); // the request has its response
                 let request_deadline = self.request_deadline();
                 let deadline = ResponseDeadline { request_deadline, first_byte_at, length };
                 let mut relay = Relay::new(rest, sender, deadline);
@@ -270,7 +276,7 @@
     fn relay_succeeded(&self, relayed: Result<(), RelayError>) -> bool {
         match relayed {
             Ok(()) => true,
-            Err(RelayError::ClientDisconnected) => false,
+            Err(RelayError::ClientDisconnected(_)) => false,
             Err(error) => {
                 self.log_failed_response(&error);
                 false
--- a/crates/proxy/src/upstream/attempt_request.rs
+++ b/crates/proxy/src/upstream/attempt_request.rs
@@ -16,6 +16,8 @@
 
 /// Header that tells the backend how many seconds this proxy waits for the response.
 const TIMEOUT_HEADER: &str = "x-timeout";
+/// Headers that an attempt and the HTTP library add to those of the request.
+const ADDED_HEADERS: usize = 2;
 
 /// A request prepared for one attempt.
 pub(super) struct AttemptRequest {
@@ -46,10 +48,13 @@
         let mut request = Request::new(body);
         *request.method_mut() = upstream_request.method.clone();
         *request.uri_mut() = upstream_request.uri.clone();
-        *request.headers_mut() = upstream_request.headers.clone();
+        *request.headers_mut() = upstream_request.headers(ADDED_HEADERS);
         let seconds = HeaderValue::from_str(&format!("{:.3}", response_timeout.as_secs_f64())).ok()?;
         request.headers_mut().insert(TIMEOUT_HEADER, seconds);
-        let is_buffered = matches!(upstream_request.body, RequestBody::Buffered { .. });
+        let is_buffered = matches!(upstream_request.body, RequestBody::Buffered(_));
+        if !is_buffered {
+            upstream_request.release_content(); // only one attempt can send a streamed body
+        }
         let timeout = is_buffered.then_some(response_timeout);
         Some(AttemptRequest { request, body_length: length, timeout })
     }
@@ -58,11 +63,14 @@
 impl AttemptBody {
     fn new(body: &RequestBody, deadline: Instant, progress: &Rc<RequestProgress>) -> Option<Self> {
         match body {
-            RequestBody::Buffered { bytes, .. } => Some(AttemptBody {
-                response_timeout: deadline.saturating_duration_since(Instant::now()),
-                length: bytes.len(),
-                body: Either::Left(Full::new(bytes.clone())),
-            }),
+            RequestBody::Buffered(bytes) => {
+                let bytes = bytes.borrow().clone();
+                Some(AttemptBody {
+                    response_timeout: deadline.saturating_duration_since(Instant::now()),
+                    length: bytes.len(),
+                    body: Either::Left(Full::new(bytes)),
+                })
+            }
             RequestBody::Streamed(upload) => {
                 let response_timeout = upload.response_deadline().saturating_duration_since(Instant::now());
                 let stream = take_stream(upload, progress)?;
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -14,11 +14,18 @@
 use super::request::MessageBody;
 use super::request_progress::RequestProgress;
 use crate::close_reason::BackendCloseReason;
+use crate::memory::ConnectionBuffers;
 use crate::socket::{
     PeekResult, half_close, peek, poll_read, poll_write, poll_write_vectored, written_parts,
 };
 use crate::sockets::SocketPermit;
 
+/// What is reserved for a connection to a backend.
+pub(super) struct ConnectionResources {
+    pub(super) _socket: SocketPermit,
+    pub(super) buffers: ConnectionBuffers,
+}
+
 /// A connection to a backend; dropping it closes the socket.
 pub(super) struct Connection {
     /// Passes requests to hyper's connection task.
@@ -27,8 +34,8 @@
     pub(super) progress: Rc<RequestProgress>,
     /// The socket, for checks that bypass hyper.
     pub(super) stream: Rc<TcpStream>,
-    /// The socket's permit, shared with `TrackedSocket`: released when both are dropped.
-    pub(super) _permit: Rc<SocketPermit>,
+    /// What is reserved for the connection, shared with `TrackedSocket`: released when both are dropped.
+    pub(super) resources: Rc<ConnectionResources>,
     /// The task in which hyper reads and writes the socket.
     pub(super) task: JoinHandle<()>,
     /// Whether no request has completed on this connection yet.
@@ -58,8 +65,8 @@
     pub(super) stream: Rc<TcpStream>,
     /// The progress, shared with the `Connection`.
     pub(super) progress: Rc<RequestProgress>,
-    /// The socket's permit, shared with the `Connection`.
-    pub(super) _permit: Rc<SocketPermit>,
+    /// What is reserved for the connection, shared with the `Connection`.
+    pub(super) resources: Rc<ConnectionResources>,
 }
 
 impl TrackedSocket {
@@ -80,7 +87,7 @@
 impl AsyncRead for TrackedSocket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(poll_read(&self.stream, cx, buf))?;
+        ready!(poll_read(&self.stream, cx, buf, self.resources.buffers.sizes().max_read()))?;
         self.progress.record_read(&buf.filled()[before..]);
         Poll::Ready(Ok(()))
     }
--- a/crates/proxy/src/upstream/dial.rs
+++ b/crates/proxy/src/upstream/dial.rs
@@ -13,11 +13,10 @@
 use tokio::time::error::Elapsed;
 use tokio::time::{Instant, sleep};
 
-use super::connection::{Connection, TrackedSocket};
+use super::connection::{Connection, ConnectionResources, TrackedSocket};
 use super::request_progress::RequestProgress;
 use crate::metrics::Metrics;
 use crate::socket::{is_local_error, is_no_route};
-use crate::sockets::SocketPermit;
 
 /// How long to retry after a transient error. Errors of this machine are expected to pass within this time.
 const TRANSIENT_RETRY_TIME: Duration = Duration::from_millis(100);
@@ -28,8 +27,9 @@
 /// Delay before each of the later retries.
 const LATER_RETRY_DELAY: Duration = Duration::from_millis(8);
 
-/// Size of a connection's buffers in bytes; it also bounds the size of a response's head.
-const BUFFER_SIZE: usize = 32 << 10;
+/// Longest response head in bytes. Once the head has been read, a read takes less than a read buffer, so the HTTP
+/// library's buffer does not grow to this size.
+const MAX_HEAD_BYTES: usize = 32 << 10;
 
 /// Why no connection was opened. A lack of resources on this machine does not count against the backend.
 #[derive(Debug, thiserror::Error)]
@@ -77,17 +77,18 @@
     }
 }
 
-/// Opens a connection with the permit for its socket. Transient errors are retried for `TRANSIENT_RETRY_TIME`.
+/// Opens a connection with the resources that are reserved for it. Transient errors are retried for
+/// `TRANSIENT_RETRY_TIME`.
 pub(super) async fn dial(
-    address: SocketAddr, permit: SocketPermit, metrics: Arc<Metrics>,
+    address: SocketAddr, resources: ConnectionResources, metrics: Arc<Metrics>,
 ) -> Result<Connection, ConnectError> {
-    let permit = Rc::new(permit);
+    let resources = Rc::new(resources);
     metrics.upstream_connected();
     let retry_until = Instant::now() + TRANSIENT_RETRY_TIME;
     let mut retries = 0;
     loop {
         let delay = if retries < QUICK_RETRIES { QUICK_RETRY_DELAY } else { LATER_RETRY_DELAY };
-        match dial_once(address, &permit, &metrics).await {
+        match dial_once(address, &resources, &metrics).await {
             Err(error) if error.is_transient() && Instant::now() + delay < retry_until => sleep(delay).await,
             result => return result,
         }
@@ -96,15 +97,15 @@
 }
 
 async fn dial_once(
-    address: SocketAddr, permit: &Rc<SocketPermit>, metrics: &Arc<Metrics>,
+    address: SocketAddr, resources: &Rc<ConnectionResources>, metrics: &Arc<Metrics>,
 ) -> Result<Connection, ConnectError> {
     let stream = Rc::new(TcpStream::connect(address).await?);
     stream.set_nodelay(true)?;
     let progress = Rc::new(RequestProgress::new(metrics.clone()));
     let socket =
-        TrackedSocket { stream: stream.clone(), progress: progress.clone(), _permit: permit.clone() };
+        TrackedSocket { stream: stream.clone(), progress: progress.clone(), resources: resources.clone() };
     let (sender, connection) = http1::Builder::new()
-        .max_buf_size(BUFFER_SIZE)
+        .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(socket))
         .await
         .map_err(io::Error::other)?;
@@ -115,7 +116,7 @@
         sender,
         progress,
         stream,
-        _permit: permit.clone(),
+        resources: resources.clone(),
         task,
         is_new: true,
         close_reason: Cell::default(),
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::SendRequest;
@@ -12,16 +12,14 @@
 use leadrelay_core::Outcome;
 use tokio::time::{Instant, timeout};
 
-use super::headers::remove_hop_by_hop_headers;
+use super::headers::{remove_hop_by_hop_headers, shrink};
 use super::request::MessageBody;
 use super::request_progress::RequestProgress;
-use super::response_deadline::MAX_SHORT_RESPONSE_BYTES;
+use super::response_buffer::ResponseBuffer;
 use super::response_progress::STALL_TIMEOUT;
 use crate::body_stream::MAX_BODY_BYTES;
+use crate::memory::{BodyBuffer, ProcessMemory};
 
-/// Longest response body that is buffered, in bytes. Until the body is complete, the proxy can still replace the
-/// response by another backend's.
-const MAX_BUFFERED_BYTES: usize = MAX_SHORT_RESPONSE_BYTES;
 /// How long a response of unknown length is buffered, in case it turns out to be short.
 const BUFFERING_TIME: Duration = Duration::from_millis(100);
 
@@ -48,7 +46,7 @@
     Complete(Bytes),
     /// A body that is too long or too slow to buffer.
     Partial {
-        read: Bytes,
+        read: BodyBuffer,
         rest: Incoming,
     },
 }
@@ -71,7 +69,7 @@
 /// passed on unchanged.
 pub(super) async fn exchange(
     sender: &mut SendRequest<MessageBody>, request: Request<MessageBody>, progress: &RequestProgress,
-    is_plain_http: bool,
+    is_plain_http: bool, memory: &ProcessMemory,
 ) -> Result<Exchange, ExchangeError> {
     let is_head = request.method() == Method::HEAD;
     let response = sender.send_request(request).await?;
@@ -83,7 +81,7 @@
     if is_early && head.status == StatusCode::OK {
         return Err(ExchangeError::ServedIncompleteRequest);
     }
-    let body = read_body(body).await?;
+    let body = read_body(body, memory).await?;
     let is_complete = matches!(body, ResponseBody::Complete(_));
     let reusable = is_complete && !is_early && head.status != StatusCode::SWITCHING_PROTOCOLS;
     if is_served(head.status, is_plain_http) {
@@ -120,35 +118,37 @@
         let length: Option<HeaderValue> = headers.get(header::CONTENT_LENGTH).filter(|_| is_head).cloned();
         remove_hop_by_hop_headers(&mut headers);
         headers.extend(length.map(|length| (header::CONTENT_LENGTH, length)));
-        BackendResponse { first_byte_at, status: head.status, headers, body }
+        BackendResponse { first_byte_at, status: head.status, headers: shrink(headers), body }
     }
 }
 
 /// Reads a body if it is short enough to buffer.
-async fn read_body(body: Incoming) -> Result<ResponseBody, ExchangeError> {
-    match body.size_hint().exact() {
-        Some(length) if length > MAX_BODY_BYTES => Err(ExchangeError::TooLong),
-        Some(length) if length > MAX_BUFFERED_BYTES as u64 => {
-            Ok(ResponseBody::Partial { read: Bytes::new(), rest: body })
-        }
-        _ => buffer_body(body).await,
+async fn read_body(body: Incoming, memory: &ProcessMemory) -> Result<ResponseBody, ExchangeError> {
+    let length = body.size_hint().exact();
+    if length.is_some_and(|length| length > MAX_BODY_BYTES) {
+        return Err(ExchangeError::TooLong);
+    }
+    match ResponseBuffer::for_length(length, memory) {
+        Some(buffer) => buffer_body(body, buffer).await,
+        None => Ok(ResponseBody::Partial { read: BodyBuffer::default(), rest: body }),
     }
 }
 
 /// Reads a body until it is complete, or turns out to be too long or too slow to buffer.
-async fn buffer_body(mut body: Incoming) -> Result<ResponseBody, ExchangeError> {
+async fn buffer_body(
+    mut body: Incoming, mut buffer: ResponseBuffer<'_>,
+) -> Result<ResponseBody, ExchangeError> {
     let has_known_length = body.size_hint().exact().is_some();
     let buffering_since = Instant::now();
-    let mut read = BytesMut::new();
     loop {
         let frame = timeout(STALL_TIMEOUT, body.frame()).await.map_err(|_| ExchangeError::Stalled)?;
-        let Some(frame) = frame else { return Ok(ResponseBody::Complete(read.freeze())) };
+        let Some(frame) = frame else { return Ok(ResponseBody::Complete(buffer.into_buffer().into_bytes())) };
         if let Ok(data) = frame?.into_data() {
-            read.extend_from_slice(&data);
+            buffer.append(&data);
         }
         let is_too_slow = !has_known_length && buffering_since.elapsed() > BUFFERING_TIME;
-        if read.len() > MAX_BUFFERED_BYTES || is_too_slow {
-            return Ok(ResponseBody::Partial { read: read.freeze(), rest: body });
+        if buffer.is_full() || is_too_slow {
+            return Ok(ResponseBody::Partial { read: buffer.into_buffer(), rest: body });
         }
     }
 }
--- a/crates/proxy/src/upstream/headers.rs
+++ b/crates/proxy/src/upstream/headers.rs
@@ -1,4 +1,5 @@
-//! Removes hop-by-hop headers, which a proxy must not forward.
+//! Prepares the headers of a message for the other side: removes hop-by-hop headers, which a proxy must not forward, and
+//! keeps the table of the others small.
 
 use hyper::header::{self, HeaderMap, HeaderName};
 
@@ -18,6 +19,9 @@
     HeaderName::from_static("proxy-connection"),
 ];
 
+/// Capacity in headers up to which a map is kept, however few headers it has.
+const MAX_KEPT_CAPACITY: usize = 24;
+
 /// Removes the hop-by-hop headers, the headers that `Connection` lists, and the content length.
 pub fn remove_hop_by_hop_headers(headers: &mut HeaderMap) {
     for name in listed_in_connection(headers).iter().chain(&HOP_BY_HOP) {
@@ -34,3 +38,14 @@
         .filter_map(|name| name.trim().parse().ok())
         .collect()
 }
+
+/// Copies headers into a smaller map if theirs is much larger than they need. The HTTP library parses a response into the
+/// map of its request, and keeps the map of each response that it writes with the client's connection.
+pub(super) fn shrink(headers: HeaderMap) -> HeaderMap {
+    if headers.capacity() <= MAX_KEPT_CAPACITY.max(2 * headers.len()) {
+        return headers;
+    }
+    let mut copy = HeaderMap::with_capacity(headers.len());
+    copy.extend(headers);
+    copy
+}
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -9,12 +9,12 @@
 use leadrelay_core::settings::json::ConnectionTimeouts;
 use tokio::time::{Instant, timeout};
 
-use super::connection::Connection;
+use super::connection::{Connection, ConnectionResources};
 use super::dial::{ConnectError, dial};
 use super::endpoint::UpstreamEndpoint;
 use super::keep_alive::{KeepAlive, MIN_KEEP_ALIVE};
-use crate::body_memory::MemoryBudget;
 use crate::close_reason::BackendCloseReason;
+use crate::memory::ProcessMemory;
 use crate::metrics::Metrics;
 use crate::sockets::Sockets;
 
@@ -31,8 +31,8 @@
 
 /// State that all attempts share: the connection pool, the timeouts and the sockets.
 pub struct UpstreamPool {
-    /// The memory budget for the part of each request body that is read before the request is submitted.
-    pub read_ahead_memory: MemoryBudget,
+    /// The memory of the process, for the buffers of connections and responses.
+    pub(super) memory: Rc<ProcessMemory>,
     /// Whether plain HTTP/1.1 is used instead of the platform's protocol. In plain HTTP every status below 500 except
     /// 101 counts as served, and error responses that have been buffered completely are passed on unchanged.
     pub(super) is_plain_http: bool,
@@ -50,10 +50,10 @@
     /// Creates an empty pool.
     pub fn new(
         connections: &ConnectionTimeouts, sockets: Rc<Sockets>, is_plain_http: bool, metrics: Arc<Metrics>,
-        read_ahead_memory: MemoryBudget,
+        memory: Rc<ProcessMemory>,
     ) -> Self {
         UpstreamPool {
-            read_ahead_memory,
+            memory,
             is_plain_http,
             metrics,
             connect_timeout: Cell::new(connect_timeout(connections)),
@@ -152,7 +152,8 @@
         let connect_timeout = self.connect_timeout.get();
         let permit = timeout(connect_timeout, self.sockets.acquire_backend()).await;
         let permit = permit.map_err(|_| ConnectError::NoSocket)?;
-        timeout(connect_timeout, dial(endpoint.address, permit, self.metrics.clone())).await?
+        let resources = ConnectionResources { _socket: permit, buffers: self.memory.connection_buffers() };
+        timeout(connect_timeout, dial(endpoint.address, resources, self.metrics.clone())).await?
     }
 
     /// Takes a connection back after an exchange, and keeps it idle if it can be reused or closes it otherwise.
--- a/crates/proxy/src/upstream/relay.rs
+++ b/crates/proxy/src/upstream/relay.rs
@@ -8,7 +8,8 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::response_deadline::ResponseDeadline;
-use crate::body_stream::{BodySender, MAX_BODY_BYTES};
+use crate::body_stream::{BodySender, ChunkRoom, MAX_BODY_BYTES, ReaderStopped};
+use crate::memory::BodyBuffer;
 
 /// How long to wait for the next part of a response of which the client may already have received a part. Another
 /// backend's response can't replace it any more.
@@ -28,7 +29,7 @@
     DeadlinePassed,
     /// The client no longer reads the response.
     #[error("client disconnected")]
-    ClientDisconnected,
+    ClientDisconnected(#[from] ReaderStopped),
 }
 
 /// Streams one response as fast as its client reads.
@@ -59,21 +60,20 @@
 
     /// Streams the body: first the bytes in `buffered`, then the rest. Returns once the whole body has been received and
     /// passed on.
-    pub(super) async fn run(&mut self, buffered: Bytes) -> Result<(), RelayError> {
-        let mut next = buffered;
+    pub(super) async fn run(&mut self, buffered: BodyBuffer) -> Result<(), RelayError> {
+        self.received += buffered.bytes.len() as u64;
+        self.sender.send_buffer(buffered).await?;
         loop {
-            self.received += next.len() as u64;
+            let room = self.wait_for_client().await?;
+            let Some(data) = self.next_chunk().await? else {
+                self.sender.end().await;
+                return Ok(());
+            };
+            self.received += data.len() as u64;
             if self.received > MAX_BODY_BYTES {
                 return Err(RelayError::TooLong);
             }
-            self.pass_on(next).await?;
-            match self.next_chunk().await? {
-                Some(data) => next = data,
-                None => {
-                    self.sender.end().await;
-                    return Ok(());
-                }
-            }
+            self.sender.send(data, room).await?;
         }
     }
 
@@ -92,12 +92,12 @@
         self.client_wait
     }
 
-    /// Passes a part of the body on to the client's connection.
-    async fn pass_on(&mut self, data: Bytes) -> Result<(), RelayError> {
+    /// Waits until the client has taken so much that there is room for the next chunk.
+    async fn wait_for_client(&mut self) -> Result<ChunkRoom, ReaderStopped> {
         let started_at = Instant::now();
-        let sent = self.sender.send(&data).await;
+        let room = self.sender.room().await;
         self.client_wait += started_at.elapsed();
-        sent.map_err(|_| RelayError::ClientDisconnected)
+        room
     }
 
     /// Reads the next frame. Returns its data, which is empty for a frame of trailers, or `None` at the end of the body.
--- a/crates/proxy/src/upstream/request.rs
+++ b/crates/proxy/src/upstream/request.rs
@@ -10,7 +10,7 @@
 use hyper::{Method, Uri};
 use tokio::time::Instant;
 
-use crate::body_memory::MemoryReservation;
+use super::stored_headers::StoredHeaders;
 use crate::body_stream::BodyStream;
 use crate::upload_clock::UploadClock;
 
@@ -23,8 +23,10 @@
     pub method: Method,
     /// The path and query.
     pub uri: Uri,
-    /// The end-to-end headers, without hop-by-hop headers.
-    pub headers: HeaderMap,
+    /// The request's id; empty if the header is missing or not printable ASCII.
+    id: String,
+    /// The end-to-end headers, without hop-by-hop headers; empty once no attempt needs them any more.
+    headers: RefCell<StoredHeaders>,
     /// The body, buffered or still being received.
     pub body: RequestBody,
     /// Asks the operating system whether the client has disconnected.
@@ -33,13 +35,8 @@
 
 /// A request's body.
 pub enum RequestBody {
-    /// A body that was received completely before the request is sent.
-    Buffered {
-        /// The complete body.
-        bytes: Bytes,
-        /// The reservation in the body memory; `None` for a small body.
-        _memory: Option<MemoryReservation>,
-    },
+    /// A body that was received completely before the request is sent; empty once no attempt needs it any more.
+    Buffered(RefCell<Bytes>),
     /// A body that is still being received while it is sent.
     Streamed(Upload),
 }
@@ -69,15 +66,39 @@
 }
 
 impl UpstreamRequest {
+    /// Creates a request with these end-to-end headers. `client_disconnected` asks the operating system whether the
+    /// client has disconnected.
+    pub fn new(
+        method: Method, uri: Uri, headers: HeaderMap, body: RequestBody,
+        client_disconnected: Box<dyn Fn() -> bool>,
+    ) -> Self {
+        let id = headers.get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let id = id.to_owned();
+        UpstreamRequest { method, uri, id, headers: RefCell::new(headers.into()), body, client_disconnected }
+    }
+
     /// The request's id; empty if the header is missing or not printable ASCII.
     pub fn request_id(&self) -> &str {
-        self.headers.get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or_default()
+        &self.id
+    }
+
+    /// The headers, with room for `additional` more.
+    pub(super) fn headers(&self, additional: usize) -> HeaderMap {
+        self.headers.borrow().to_map(additional)
+    }
+
+    /// Releases the memory of the headers and of a buffered body, because no further attempt will be made.
+    pub(super) fn release_content(&self) {
+        self.headers.take();
+        if let RequestBody::Buffered(bytes) = &self.body {
+            bytes.take();
+        }
     }
 
     /// The upload of a streamed body; `None` for a buffered one.
     pub fn upload(&self) -> Option<&Upload> {
         match &self.body {
-            RequestBody::Buffered { .. } => None,
+            RequestBody::Buffered(_) => None,
             RequestBody::Streamed(upload) => Some(upload),
         }
     }
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -18,7 +18,7 @@
 use super::keep_alive::MIN_KEEP_ALIVE;
 use super::request_framing::HEAD_END;
 use super::*;
-use crate::body_memory::MemoryBudget;
+use crate::memory::{MemoryPlan, ProcessMemory};
 use crate::sockets::{SocketLimits, Sockets};
 
 mod units;
@@ -43,18 +43,14 @@
 fn upstream_request_checked_by(
     body: Bytes, client_disconnected: impl Fn() -> bool + 'static,
 ) -> Rc<UpstreamRequest> {
-    Rc::new(UpstreamRequest {
-        method: Method::POST,
-        uri: Uri::from_static("/x"),
-        headers: HeaderMap::new(),
-        body: RequestBody::Buffered { bytes: body, _memory: None },
-        client_disconnected: Box::new(client_disconnected),
-    })
+    let body = RequestBody::Buffered(body.into());
+    let uri = Uri::from_static("/x");
+    Rc::new(UpstreamRequest::new(Method::POST, uri, HeaderMap::new(), body, Box::new(client_disconnected)))
 }
 
 fn new_pool(sockets: usize) -> Rc<UpstreamPool> {
     let connections = ConnectionTimeouts { connect_timeout: 600_000.0, backend_idle_timeout: 600_000.0 };
-    let memory = MemoryBudget::new(1 << 20);
+    let memory = Rc::new(ProcessMemory::new(MemoryPlan::new(64 << 20, 256, false)));
     let limits = SocketLimits {
         without_overlap: 4 * sockets,
         with_overlap: 4 * sockets,
