A backend may pause for 2 s within a response, buffered or streamed

Responses without a length are cut off as soon as their backend pauses for 0.25 s, and so are short ones with a length: 503 at the deadline. Cause: two limits of 0.25 s while a response is buffered (upstream/exchange.rs, buffer_body; upstream/response_progress.rs, stalled); and one of unknown length, to be streamed after 100 ms, was streamed only when a frame arrived after that. Evidence, from the operators' trace: "upstream response failed" error="response stalled" 252 ms after the start; ruled out: response_deadline.rs, whose event comes after the deadline, and waits for the client. Change: one limit of 2 s; a response of unknown length is streamed after 100 ms whether or not bytes have arrived. Cost: an idempotent request is sent elsewhere after 2 s in place of 0.25 s if a backend breaks off within a short response and leaves the connection open.

--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -10,7 +10,7 @@
 use hyper::http::response;
 use hyper::{Method, Request, StatusCode};
 use leadrelay_core::Outcome;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 
 use super::headers::{remove_hop_by_hop_headers, shrink};
 use super::request::MessageBody;
@@ -128,26 +128,32 @@
     if length.is_some_and(|length| length > MAX_BODY_BYTES) {
         return Err(ExchangeError::TooLong);
     }
-    match ResponseBuffer::for_length(length, memory) {
-        Some(buffer) => buffer_body(body, buffer).await,
-        None => Ok(ResponseBody::Partial { read: BodyBuffer::default(), rest: body }),
-    }
+    let Some(buffer) = ResponseBuffer::for_length(length, memory) else {
+        return Ok(ResponseBody::Partial { read: BodyBuffer::default(), rest: body });
+    };
+    let stream_at = length.is_none().then(|| Instant::now() + BUFFERING_TIME);
+    buffer_body(body, buffer, stream_at).await
 }
 
-/// Reads a body until it is complete, or turns out to be too long or too slow to buffer.
+/// Reads a body until it is complete or turns out to be too long to buffer, and no longer than until `stream_at`.
 async fn buffer_body(
-    mut body: Incoming, mut buffer: ResponseBuffer<'_>,
+    mut body: Incoming, mut buffer: ResponseBuffer<'_>, stream_at: Option<Instant>,
 ) -> Result<ResponseBody, ExchangeError> {
-    let has_known_length = body.size_hint().exact().is_some();
-    let buffering_since = Instant::now();
     loop {
-        let frame = timeout(STALL_TIMEOUT, body.frame()).await.map_err(|_| ExchangeError::Stalled)?;
-        let Some(frame) = frame else { return Ok(ResponseBody::Complete(buffer.into_buffer().into_bytes())) };
-        if let Ok(data) = frame?.into_data() {
-            buffer.append(&data);
-        }
-        let is_too_slow = !has_known_length && buffering_since.elapsed() > BUFFERING_TIME;
-        if buffer.is_full() || is_too_slow {
+        let stalled_at = Instant::now() + STALL_TIMEOUT;
+        let wait_until = stream_at.unwrap_or(stalled_at);
+        let is_full = match timeout_at(wait_until, body.frame()).await {
+            Ok(None) => return Ok(ResponseBody::Complete(buffer.into_buffer().into_bytes())),
+            Ok(Some(frame)) => {
+                if let Ok(data) = frame?.into_data() {
+                    buffer.append(&data);
+                }
+                buffer.is_full()
+            }
+            Err(_) if stream_at.is_some() => true,
+            Err(_) => return Err(ExchangeError::Stalled),
+        };
+        if is_full {
             return Ok(ResponseBody::Partial { read: buffer.into_buffer(), rest: body });
         }
     }
--- a/crates/proxy/src/upstream/relay.rs
+++ b/crates/proxy/src/upstream/relay.rs
@@ -8,13 +8,10 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::response_deadline::ResponseDeadline;
+use super::response_progress::STALL_TIMEOUT;
 use crate::body_stream::{BodySender, ChunkRoom, MAX_BODY_BYTES, ReaderStopped};
 use crate::memory::BodyBuffer;
 
-/// How long to wait for the next part of a response of which the client may already have received a part. Another
-/// backend's response can't replace it any more.
-const CHUNK_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Why a response was not streamed to its end.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum RelayError {
@@ -103,15 +100,15 @@
     /// Reads the next frame. Returns its data, which is empty for a frame of trailers, or `None` at the end of the body.
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, RelayError> {
         let started_at = Instant::now();
-        let chunk_timeout_at = started_at + CHUNK_TIMEOUT;
+        let stalled_at = started_at + STALL_TIMEOUT;
         let complete_by = self.deadline.complete_by(self.received, self.client_wait);
-        let wait_until = complete_by.unwrap_or(chunk_timeout_at).min(chunk_timeout_at);
+        let wait_until = complete_by.unwrap_or(stalled_at).min(stalled_at);
         let frame = timeout_at(wait_until, self.rest.frame()).await;
         self.backend_wait += started_at.elapsed();
         match frame {
             Ok(None) => Ok(None),
             Ok(Some(frame)) => Ok(Some(frame?.into_data().unwrap_or_default())),
-            Err(_) if wait_until < chunk_timeout_at => Err(RelayError::DeadlinePassed),
+            Err(_) if wait_until < stalled_at => Err(RelayError::DeadlinePassed),
             Err(_) => Err(RelayError::ReadTimedOut),
         }
     }
--- a/crates/proxy/src/upstream/response_progress.rs
+++ b/crates/proxy/src/upstream/response_progress.rs
@@ -8,9 +8,9 @@
 
 use super::request_framing::HEAD_END;
 
-/// How long to wait for the next bytes of a response that has started. Without this limit, a response shorter than its
-/// content length would block its request until the client gives up.
-pub(super) const STALL_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long a backend may pause within a response: for as long as the rest may be held back from the client. A shorter
+/// pause does not tell a response that never ends from one that is written slowly.
+pub(super) const STALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Tracks the bytes of a response as they are read.
 #[derive(Default)]
