An id that is open at one process of an upgrade is not sent again by the other

While two processes overlap, a client leaves in the middle of a topup and sends it again with the same id; if the other process accepts the new connection, the request runs twice. Cause: open_ids.rs held the ids of open requests for one process only. Change: while another process runs, the id of a request that must not run twice is claimed by a file that is created exclusively in the shared folder (handover/id_claims.rs). A process that learns of another one claims what it has open, and a new process accepts connections 0.25 s later for that. Why this works: exclusive creation has one winner, and the claim lasts until the request and its attempts have ended. A folder that fails stops nothing.

--- a/crates/proxy/src/frontend/admission.rs
+++ b/crates/proxy/src/frontend/admission.rs
@@ -36,7 +36,7 @@
         if body.size_hint().lower() > MAX_BODY_BYTES {
             return Err(Rejection::BodyTooLarge);
         }
-        let reserved_id = self.open_ids.reserve(&meta.id);
+        let reserved_id = self.open_ids.reserve(&meta.id, !head.method.is_safe());
         if meta.requires_unique_id && reserved_id.is_none() {
             return Err(Rejection::IdInUse);
         }
--- a/crates/proxy/src/frontend/mod.rs
+++ b/crates/proxy/src/frontend/mod.rs
@@ -73,6 +73,8 @@
 const MAX_IDLE_TIME: Duration = Duration::from_secs(15);
 /// Interval between checks for connections whose timeout has passed.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
+/// Time within which another process of this proxy learns of this one and claims the ids of its open requests.
+const CLAIM_TIME: Duration = Duration::from_millis(250);
 
 /// The components from which a [`Frontend`] is built, most of which it shares with other parts of the proxy.
 pub struct FrontendParts {
@@ -126,7 +128,8 @@
 impl Frontend {
     /// Creates a frontend without connections.
     pub fn new(parts: FrontendParts) -> Rc<Self> {
-        Rc::new(Frontend {
+        let id_claims = parts.handover.as_ref().map(|handover| handover.id_claims());
+        let frontend = Rc::new(Frontend {
             inbox: parts.inbox,
             classes: parts.classes,
             upstreams: parts.upstreams,
@@ -142,15 +145,22 @@
             streamed_responses: LiveCount::default(),
             served_connections: LiveCount::default(),
             accept_queue_empty_at: Cell::new(Instant::now()),
-            open_ids: OpenRequestIds::default(),
+            open_ids: OpenRequestIds::new(id_claims),
             connections_changed: Notify::new(),
-        })
+        });
+        frontend.share_open_ids();
+        frontend
     }
 
     /// Accepts and serves connections until `stop` completes, then finishes the accepted requests.
     pub async fn serve(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
         tokio::task::spawn_local(self.clone().close_expired_periodically());
         tokio::pin!(stop);
+        tokio::select! {
+            biased;
+            () = &mut stop => return self.shut_down(listener).await,
+            () = self.other_process_has_claimed() => {}
+        }
         loop {
             tokio::select! {
                 biased;
@@ -165,6 +175,25 @@
         loop {
             sleep(EXPIRY_INTERVAL).await;
             self.close_expired();
+            self.share_open_ids();
+        }
+    }
+
+    /// Whether another process of this proxy runs, which may have requests open.
+    fn has_other_process(&self) -> bool {
+        self.handover.as_ref().is_some_and(|handover| handover.has_other_process())
+    }
+
+    /// Claims the ids of open requests while another process of this proxy runs.
+    fn share_open_ids(&self) {
+        self.open_ids.set_shared(self.has_other_process());
+    }
+
+    /// Waits until another process, if one runs, has claimed the ids of the requests that it had open when this one started.
+    /// Until then it accepts all connections.
+    async fn other_process_has_claimed(&self) {
+        if self.has_other_process() {
+            sleep(CLAIM_TIME).await;
         }
     }
 
--- a/crates/proxy/src/handover/mod.rs
+++ b/crates/proxy/src/handover/mod.rs
@@ -3,20 +3,23 @@
 //!
 //! [`Handover`] is the view of one process. `schema` defines the contents of the file, `file` reads and replaces the
 //! file, `lock` prevents concurrent changes to it, and `pending` queues operators' changes that are not written yet.
+//! `id_claims` keeps both processes from running one request.
 
 mod file;
+mod id_claims;
 mod lock;
 mod pending;
 mod schema;
 
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use tokio::sync::oneshot;
 use tracing::warn;
 
 use file::{HandoverFile, Revision};
+pub use id_claims::{IdClaim, IdClaims};
 use lock::{FileLock, LockError};
 use pending::PendingChanges;
 pub use schema::{ConversionContext, LearnedRecord, SharedState};
@@ -43,12 +46,15 @@
 pub struct Handover {
     file: HandoverFile,
     lock: FileLock,
+    id_claims_folder: PathBuf,
     /// The stage of this process.
     stage: Cell<Stage>,
     /// The last revision of the file whose contents this process has taken into account.
     seen_revision: Cell<Option<Revision>>,
     /// Whether another process of this proxy is starting or serving.
     has_overlap: Cell<bool>,
+    /// Whether another process of this proxy runs, also one that is stopping.
+    has_other_process: Cell<bool>,
     /// Whether this process started last among those that serve.
     is_latest_serving: Cell<bool>,
     /// Whether the current stage of this process may be missing from the file.
@@ -66,9 +72,11 @@
         let handover = Handover {
             file: HandoverFile::new(folder.join(format!("leadrelay-{name}.json"))),
             lock: FileLock::new(folder.join(format!("leadrelay-{name}.lock"))),
+            id_claims_folder: folder.join(format!("leadrelay-{name}.ids")),
             stage: Cell::new(Stage::Starting),
             seen_revision: Cell::new(None),
             has_overlap: Cell::new(false),
+            has_other_process: Cell::new(false),
             is_latest_serving: Cell::new(false),
             is_stage_unwritten: Cell::new(true),
             pending: RefCell::default(),
@@ -158,8 +166,10 @@
 
     /// Updates `has_overlap` and `is_latest_serving` from the list of processes in the file.
     fn update_overlap(&self, state: &SharedState) {
-        let mut others = state.processes.iter().filter(|other| !is_this_process(other) && is_running(other));
-        self.has_overlap.set(others.any(|other| other.stage != Stage::Stopping));
+        let others: Vec<&ProcessRecord> =
+            state.processes.iter().filter(|other| !is_this_process(other) && is_running(other)).collect();
+        self.has_other_process.set(!others.is_empty());
+        self.has_overlap.set(others.iter().any(|other| other.stage != Stage::Stopping));
         let mut latest_first = state.processes.iter().rev();
         let latest = latest_first.find(|process| process.stage == Stage::Serving && is_running(process));
         self.is_latest_serving.set(latest.is_some_and(is_this_process));
@@ -199,6 +209,16 @@
         self.has_overlap.get()
     }
 
+    /// Whether another process of this proxy runs. It may have requests open also while it is stopping.
+    pub fn has_other_process(&self) -> bool {
+        self.has_other_process.get()
+    }
+
+    /// The claims on request ids that the processes of this proxy share.
+    pub fn id_claims(&self) -> IdClaims {
+        IdClaims::new(self.id_claims_folder.clone())
+    }
+
     /// Whether this process started last among those that serve. Only its learned state is saved in the file.
     pub fn is_latest_serving(&self) -> bool {
         self.is_latest_serving.get()
