One buffer for bodies that are read ahead or buffered; delivery of responses in a file

Change: memory/body_buffer.rs serves both, with its limits given; a response of known length reserves its memory once it exceeds what needs no reservation, as a request body does. upstream/delivery.rs has what follows an exchange with a response. No decision changes.

--- a/crates/proxy/src/body_stream.rs
+++ b/crates/proxy/src/body_stream.rs
@@ -15,7 +15,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
-use crate::memory::{BodyBuffer, BufferSizes, reserved_bytes};
+use crate::memory::{BufferSizes, BufferedPart, reserved_bytes};
 
 /// Longest request or response body that is forwarded, in bytes.
 pub const MAX_BODY_BYTES: u64 = 36 << 20;
@@ -74,15 +74,15 @@
 
     /// Sends a part of the body that was buffered before: outside of the window if it has a reservation of its own.
     /// Without one it takes up the window as far as it can.
-    pub async fn send_buffer(&self, buffer: BodyBuffer) -> Result<(), ReaderStopped> {
-        if buffer.bytes.is_empty() {
+    pub async fn send_buffered(&self, part: BufferedPart) -> Result<(), ReaderStopped> {
+        if part.bytes.is_empty() {
             return Ok(());
         }
-        if buffer.reservation.is_some() {
-            return self.send_data(buffer.into_bytes()).await;
+        if part.reservation.is_some() {
+            return self.send_data(part.into_bytes()).await;
         }
-        let room = self.acquire(buffer.bytes.len().min(self.buffers.stream_window())).await?;
-        self.send_data(reserved_bytes(buffer.bytes, room)).await
+        let room = self.acquire(part.bytes.len().min(self.buffers.stream_window())).await?;
+        self.send_data(reserved_bytes(part.bytes, room)).await
     }
 
     async fn send_data(&self, data: Bytes) -> Result<(), ReaderStopped> {
--- a/crates/proxy/src/body_upload.rs
+++ b/crates/proxy/src/body_upload.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::body_stream::{BodySender, MAX_BODY_BYTES, MIN_PEER_BYTES_PER_SECOND, ReaderStopped};
-use crate::memory::BodyBuffer;
+use crate::memory::BufferedPart;
 use crate::socket::receive_buffer_size;
 use crate::upload_clock::UploadClock;
 
@@ -126,7 +126,7 @@
 /// A body of which only a part has been received.
 pub struct PartialBody {
     /// The part that has been received.
-    pub received: BodyBuffer,
+    pub received: BufferedPart,
     /// The receiver of the rest.
     pub rest: BodyReceiver,
 }
@@ -143,7 +143,7 @@
 /// malformed.
 pub async fn forward_body(body: PartialBody, sender: BodySender) -> Result<(), BodyError> {
     let PartialBody { received, rest } = body;
-    match sender.send_buffer(received).await {
+    match sender.send_buffered(received).await {
         Ok(()) => forward_rest(rest, &sender).await,
         Err(ReaderStopped) => Ok(()),
     }
--- a/crates/proxy/src/frontend/body.rs
+++ b/crates/proxy/src/frontend/body.rs
@@ -11,13 +11,17 @@
 
 use super::Frontend;
 use super::client::Client;
-use super::read_ahead::ReadAheadBuffer;
 use crate::body_stream::BodyStream;
 use crate::body_upload::{BodyError, BodyReceiver, PartialBody, forward_body};
 use crate::inbox::Input;
+use crate::memory::{BodyBuffer, BodyBufferLimits, SMALL_BODY_BYTES};
 use crate::upload_clock::UploadClock;
 use crate::upstream::{RequestBody, Upload};
 
+/// How much of a body is received before the request is submitted. A slow client occupies no backend during that time, and
+/// a body that is complete by then can be resent in a retry.
+const READ_AHEAD: BodyBufferLimits = BodyBufferLimits { unreserved: SMALL_BODY_BYTES, max: 128 << 10 };
+
 /// The part of a body that has been received when its request is submitted.
 enum ReadAhead {
     Complete(Bytes),
@@ -81,16 +85,13 @@
 
     /// Receives a body to its end, or until it exceeds the limit for which there is memory.
     async fn read_ahead(&self, mut receiver: BodyReceiver) -> Result<ReadAhead, BodyError> {
-        let mut buffer = ReadAheadBuffer::new(&self.memory, receiver.bytes_remaining());
+        let mut buffer = BodyBuffer::new(&self.memory, READ_AHEAD, receiver.bytes_remaining());
         while let Some(data) = receiver.next().await? {
             buffer.append(&data);
             if buffer.is_full() {
-                return Ok(ReadAhead::Partial(PartialBody {
-                    received: buffer.into_buffer(),
-                    rest: receiver,
-                }));
+                return Ok(ReadAhead::Partial(PartialBody { received: buffer.into_part(), rest: receiver }));
             }
         }
-        Ok(ReadAhead::Complete(buffer.into_buffer().into_bytes()))
+        Ok(ReadAhead::Complete(buffer.into_part().into_bytes()))
     }
 }
--- a/crates/proxy/src/frontend/mod.rs
+++ b/crates/proxy/src/frontend/mod.rs
@@ -9,8 +9,8 @@
 //!    `write_watchdog` detects a client that reads nothing of its streamed response.
 //! 3. `service` is called for each request whose head has been read, and `received` determines when the head arrived.
 //!    The service rejects the request if too many requests are in flight.
-//! 4. `admission` checks the head, and for a chunked request the `raw_head` too. `body` receives the body into the
-//!    `read_ahead` buffer, either completely or up to the limit for buffered bodies.
+//! 4. `admission` checks the head, and for a chunked request the `raw_head` too. `body` receives the body, either
+//!    completely or up to the limit for buffered bodies.
 //! 5. `forward` submits the request to the driver, with its head changed by `forwarded_head`, and waits for the final
 //!    response while the rest of a streamed body is received. `cancellation` notifies the driver if the client
 //!    disconnects first.
@@ -33,7 +33,6 @@
 mod listener;
 mod live_count;
 mod raw_head;
-mod read_ahead;
 mod received;
 mod response;
 mod service;
--- a/crates/proxy/src/memory.rs
+++ b/crates/proxy/src/memory.rs
@@ -6,15 +6,17 @@
 //!
 //! - `plan` divides the limit at the start of the process
 //! - `buffers` has the sizes of the buffers, and what connections and requests need with them
-//! - `budget` counts the bytes that are reserved
+//! - `budget` counts the bytes that are reserved, `body_buffer` reserves those of one body
 //! - `trim` returns freed memory to the operating system
 
+mod body_buffer;
 mod budget;
 mod buffers;
 mod plan;
 mod trim;
 
-pub use budget::{BodyBuffer, MemoryReservation, reserved_bytes};
+pub use body_buffer::{BodyBuffer, BodyBufferLimits, BufferedPart};
+pub use budget::{MemoryReservation, reserved_bytes};
 pub use buffers::{BufferSizes, ConnectionBuffers, MAX_HEAD_BYTES, SMALL_BODY_BYTES, SMALL_RESPONSE_BYTES};
 pub use plan::MemoryPlan;
 
--- a/crates/proxy/src/memory/budget.rs
+++ b/crates/proxy/src/memory/budget.rs
@@ -48,29 +48,5 @@
     Bytes::from_owner(ReservedBytes { bytes, _reservation: reservation })
 }
 
-/// A part of a body that has been read into a buffer.
-#[derive(Default)]
-pub struct BodyBuffer {
-    /// The bytes. The buffer's capacity is no larger than what is reserved.
-    pub bytes: Vec<u8>,
-    /// The reservation of the buffer; `None` for a small one, which needs none.
-    pub reservation: Option<MemoryReservation>,
-}
-
-impl BodyBuffer {
-    /// The bytes, with their reservation if there is one.
-    pub fn into_bytes(self) -> Bytes {
-        match self.reservation {
-            Some(reservation) => reserved_bytes(self.bytes, reservation),
-            None => Bytes::from(self.bytes),
-        }
-    }
-
-    /// Makes room for `length` bytes in all.
-    pub fn grow_to(&mut self, length: usize) {
-        self.bytes.reserve_exact(length.saturating_sub(self.bytes.len()));
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -3,28 +3,22 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 
-use http_body_util::{Either, Full};
 use hyper::Request;
-use hyper::body::Body as _;
 use leadrelay_core::Outcome;
 use tokio::time::{Instant, sleep_until, timeout_at};
-use tracing::{debug, info, warn};
+use tracing::{info, warn};
 
 use super::attempt_request::AttemptRequest;
 use super::connection::Connection;
 use super::dial::ConnectError;
 use super::endpoint::UpstreamEndpoint;
-use super::exchange::{BackendResponse, Exchange, ExchangeError, ResponseBody, exchange};
+use super::exchange::{Exchange, ExchangeError, exchange};
 use super::guard::SendGuard;
 use super::pool::UpstreamPool;
-use super::relay::{Relay, RelayError};
-use super::request::{MessageBody, RequestBody, Upload, UpstreamRequest};
+use super::request::{MessageBody, RequestBody, UpstreamRequest};
 use super::request_progress::RequestProgress;
 use super::request_state::{RequestState, SharedRequestState};
 use super::response::UpstreamResponse;
-use super::response_deadline::ResponseDeadline;
-use crate::body_stream::BodyStream;
-use crate::memory::BufferSizes;
 
 /// The time limits of an attempt.
 #[derive(Clone, Copy)]
@@ -39,12 +33,12 @@
 }
 
 /// An attempt: its request, its endpoint and its time limits.
-struct Attempt<'a> {
+pub(super) struct Attempt<'a> {
     pool: &'a UpstreamPool,
-    endpoint: Rc<UpstreamEndpoint>,
+    pub(super) endpoint: Rc<UpstreamEndpoint>,
     state: Rc<SharedRequestState>,
-    request: Rc<UpstreamRequest>,
-    limits: AttemptLimits,
+    pub(super) request: Rc<UpstreamRequest>,
+    pub(super) limits: AttemptLimits,
 }
 
 /// A connection to which a request was handed, with the result of the exchange.
@@ -224,78 +218,6 @@
         }
     }
 
-    /// Reports the outcome of an exchange and streams the rest of its response, which is read into buffers of these sizes.
-    /// Returns whether the connection can be
-    /// reused afterwards.
-    async fn deliver_response(
-        &self, exchange: Exchange, buffers: BufferSizes,
-        report: impl FnOnce(Outcome, Option<UpstreamResponse>),
-    ) -> bool {
-        let Exchange { outcome, response, reusable } = exchange;
-        let Some(BackendResponse { first_byte_at, status, headers, body }) = response else {
-            report(outcome, None);
-            return reusable;
-        };
-        match body {
-            ResponseBody::Complete(bytes) => {
-                let body = Either::Left(Full::new(bytes));
-                report(outcome, Some(UpstreamResponse { first_byte_at, status, headers, body }));
-                reusable
-            }
-            // The proxy does not wait for the rest of an error response that is too long to buffer.
-            ResponseBody::Partial { .. } if outcome != Outcome::Served => {
-                report(outcome, None);
-                false
-            }
-            // The outcome is final. How long the rest of the response takes depends on how fast the client reads.
-            ResponseBody::Partial { read, rest } => {
-                let length = rest.size_hint().exact().map(|rest| read.bytes.len() as u64 + rest);
-                let (sender, stream) = BodyStream::new(length, buffers);
-                let body = Either::Right(stream);
-                report(outcome, Some(UpstreamResponse { first_byte_at, status, headers, body }));
-                if !reusable {
-                    return false;
-                }
-                self.request.release_content(); // the request has its response
-                let request_deadline = self.request_deadline();
-                let deadline = ResponseDeadline { request_deadline, first_byte_at, length };
-                let mut relay = Relay::new(rest, sender, deadline);
-                let relayed = relay.run(read).await;
-                self.log_streamed_response(&relay, relayed.is_ok());
-                self.relay_succeeded(relayed)
-            }
-        }
-    }
-
-    /// When the client stops waiting for the response, as far as is known now.
-    fn request_deadline(&self) -> Instant {
-        self.request.upload().map_or(self.limits.request_deadline, Upload::response_deadline)
-    }
-
-    /// Returns whether a response was streamed to its end, and logs a failure of the backend.
-    fn relay_succeeded(&self, relayed: Result<(), RelayError>) -> bool {
-        match relayed {
-            Ok(()) => true,
-            Err(RelayError::ClientDisconnected(_)) => false,
-            Err(error) => {
-                self.log_failed_response(&error);
-                false
-            }
-        }
-    }
-
-    fn log_streamed_response(&self, relay: &Relay, complete: bool) {
-        debug!(
-            request = self.request.request_id(),
-            backend = %self.endpoint.address,
-            complete,
-            bytes = relay.received(),
-            waited_for_backend_ms = relay.backend_wait().as_millis() as u64,
-            waited_for_client_ms = relay.client_wait().as_millis() as u64,
-            "streamed response ended"
-        );
-    }
-
     /// The outcome of an attempt without a response. A request can't have run if the attempt failed before the last
     /// byte of the request was written.
     fn failure_outcome(&self, error: SendError, progress: &RequestProgress) -> Outcome {
@@ -311,7 +233,7 @@
         }
     }
 
-    fn log_failed_response(&self, error: &dyn std::error::Error) {
+    pub(super) fn log_failed_response(&self, error: &dyn std::error::Error) {
         let request = self.request.request_id();
         let backend = self.endpoint.address;
         info!(request, %backend, %error, "upstream response failed");
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -15,11 +15,14 @@
 use super::headers::{remove_hop_by_hop_headers, shrink};
 use super::request::MessageBody;
 use super::request_progress::RequestProgress;
-use super::response_buffer::ResponseBuffer;
+use super::response_deadline::MAX_SHORT_RESPONSE_BYTES;
 use super::response_progress::STALL_TIMEOUT;
 use crate::body_stream::MAX_BODY_BYTES;
-use crate::memory::{BodyBuffer, ProcessMemory};
+use crate::memory::{BodyBuffer, BodyBufferLimits, BufferedPart, ProcessMemory, SMALL_RESPONSE_BYTES};
 
+/// How much of a response is buffered. Until its body is complete, the proxy can still replace it by another backend's.
+const BUFFERED: BodyBufferLimits =
+    BodyBufferLimits { unreserved: SMALL_RESPONSE_BYTES, max: MAX_SHORT_RESPONSE_BYTES };
 /// How long a response of unknown length is buffered, in case it turns out to be short.
 const BUFFERING_TIME: Duration = Duration::from_millis(100);
 
@@ -46,7 +49,7 @@
     Complete(Bytes),
     /// A body that is too long or too slow to buffer.
     Partial {
-        read: BodyBuffer,
+        read: BufferedPart,
         rest: Incoming,
     },
 }
@@ -128,22 +131,23 @@
     if length.is_some_and(|length| length > MAX_BODY_BYTES) {
         return Err(ExchangeError::TooLong);
     }
-    let Some(buffer) = ResponseBuffer::for_length(length, memory) else {
-        return Ok(ResponseBody::Partial { read: BodyBuffer::default(), rest: body });
-    };
+    if length.is_some_and(|length| length > BUFFERED.max as u64) {
+        return Ok(ResponseBody::Partial { read: BufferedPart::default(), rest: body });
+    }
+    let buffer = BodyBuffer::new(memory, BUFFERED, length);
     let stream_at = length.is_none().then(|| Instant::now() + BUFFERING_TIME);
     buffer_body(body, buffer, stream_at).await
 }
 
 /// Reads a body until it is complete or turns out to be too long to buffer, and no longer than until `stream_at`.
 async fn buffer_body(
-    mut body: Incoming, mut buffer: ResponseBuffer<'_>, stream_at: Option<Instant>,
+    mut body: Incoming, mut buffer: BodyBuffer<'_>, stream_at: Option<Instant>,
 ) -> Result<ResponseBody, ExchangeError> {
     loop {
         let stalled_at = Instant::now() + STALL_TIMEOUT;
         let wait_until = stream_at.unwrap_or(stalled_at);
         let is_full = match timeout_at(wait_until, body.frame()).await {
-            Ok(None) => return Ok(ResponseBody::Complete(buffer.into_buffer().into_bytes())),
+            Ok(None) => return Ok(ResponseBody::Complete(buffer.into_part().into_bytes())),
             Ok(Some(frame)) => {
                 if let Ok(data) = frame?.into_data() {
                     buffer.append(&data);
@@ -154,7 +158,7 @@
             Err(_) => return Err(ExchangeError::Stalled),
         };
         if is_full {
-            return Ok(ResponseBody::Partial { read: buffer.into_buffer(), rest: body });
+            return Ok(ResponseBody::Partial { read: buffer.into_part(), rest: body });
         }
     }
 }
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -9,11 +9,11 @@
 //!    a socket is free. `keep_alive` determines how long connections may be idle.
 //! 2. `attempt_request` prepares the `request` for this attempt, and `request_progress` is reset with a new `guard`,
 //!    which the connection checks just before it writes the first byte.
-//! 3. `exchange` sends the request and reads as much of the response as the `response_buffer` holds. `request_progress` and
+//! 3. `exchange` sends the request and reads as much of the response as is buffered. `request_progress` and
 //!    `request_framing` track the bytes written, because a request can't have run before its last byte is written.
 //!    `write_progress` detects a backend that takes no bytes, and `response_progress` a response that stalls.
-//! 4. `attempt` reports the outcome, with the `response` for the client if there is one. `relay` streams the rest of a
-//!    response that is too long to buffer.
+//! 4. `attempt` reports the outcome; `delivery` does so with the `response` for the client if there is one. `relay` streams
+//!    the rest of a response that is too long to buffer.
 //! 5. The `pool` takes the connection back, or closes it.
 //!
 //! The guard reads state that attempts share: the attempts of one request share a `request_state`, and the attempts to
@@ -23,6 +23,7 @@
 mod attempt_request;
 mod availability;
 mod connection;
+mod delivery;
 mod dial;
 mod endpoint;
 mod exchange;
@@ -36,7 +37,6 @@
 mod request_progress;
 mod request_state;
 mod response;
-mod response_buffer;
 mod response_deadline;
 mod response_progress;
 mod stored_headers;
--- a/crates/proxy/src/upstream/relay.rs
+++ b/crates/proxy/src/upstream/relay.rs
@@ -10,7 +10,7 @@
 use super::response_deadline::ResponseDeadline;
 use super::response_progress::STALL_TIMEOUT;
 use crate::body_stream::{BodySender, ChunkRoom, MAX_BODY_BYTES, ReaderStopped};
-use crate::memory::BodyBuffer;
+use crate::memory::BufferedPart;
 
 /// Why a response was not streamed to its end.
 #[derive(Debug, thiserror::Error)]
@@ -57,9 +57,9 @@
 
     /// Streams the body: first the bytes in `buffered`, then the rest. Returns once the whole body has been received and
     /// passed on.
-    pub(super) async fn run(&mut self, buffered: BodyBuffer) -> Result<(), RelayError> {
+    pub(super) async fn run(&mut self, buffered: BufferedPart) -> Result<(), RelayError> {
         self.received += buffered.bytes.len() as u64;
-        self.sender.send_buffer(buffered).await?;
+        self.sender.send_buffered(buffered).await?;
         loop {
             let room = self.wait_for_client().await?;
             let Some(data) = self.next_chunk().await? else {
